--- /dev/null
+++ b/scheduler/types.go
@@ -0,0 +1,166 @@
+// Package scheduler makes the pure decisions of a target group: which waiting
+// request runs where, which waits and which is refused. It does no I/O, starts
+// no goroutines and takes the time as an argument; one goroutine owns a Group.
+package scheduler
+
+import (
+	"time"
+)
+
+// Rank is the rank of a tier; 0 is the highest.
+type Rank int
+
+// TicketID names a ticket: the entry that holds the request, the entry's
+// incarnation, and a number unique within both.
+type TicketID struct {
+	Instance    string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// Ticket is the group's record of a request that waits for a target or runs on one.
+type Ticket struct {
+	ID        TicketID
+	Workspace string
+	// Weight is the workspace's share inside the tier; values below or equal to 0 count as 1.
+	Weight float64
+	Tier   Rank
+	Route  string
+	// Version is the target version that the request must run on; empty means any.
+	Version string
+	// PromptTokens and OutputTokens are estimates.
+	PromptTokens int
+	OutputTokens int
+	// Prefix holds a hash for each prompt block, each covering the prompt up to the block's end.
+	Prefix    []uint64
+	BodyBytes int64
+	// Region is the region of the entry.
+	Region string
+	// Deadline is the time by which the first token is due.
+	Deadline time.Time
+	// Fingerprint identifies the content of the request across repeated sends.
+	Fingerprint uint64
+	// Cancellable permits cancelling the request while it runs.
+	Cancellable bool
+	// Idempotent marks a request that may serve as a probe of a doubtful target.
+	Idempotent bool
+	// Avoid lists targets that the entry failed to reach before dispatch.
+	Avoid []string
+}
+
+// Target describes a back end of the group. Speeds are initial estimates that
+// measured speeds replace.
+type Target struct {
+	Name                   string
+	Region                 string
+	Zone                   string
+	Versions               []string
+	Concurrency            int
+	PrefillTokensPerSecond float64
+	DecodeTokensPerSecond  float64
+	// Leaving targets get no new grant.
+	Leaving bool
+	// Service targets run calls that have no tokens.
+	Service bool
+}
+
+// Result tells how a granted ticket ended.
+type Result int
+
+// Results of a granted ticket.
+const (
+	ResultServed Result = iota + 1
+	// ResultFailed: the target answered with an error or broke the connection.
+	ResultFailed
+	// ResultNotDispatched: no byte was written to the target; the grant was not used.
+	ResultNotDispatched
+	// ResultCancelled: the caller or the group cancelled the running request.
+	ResultCancelled
+	// ResultTargetDied: the connection broke in a way that suggests that the target died.
+	ResultTargetDied
+)
+
+// Completion ends a granted ticket.
+type Completion struct {
+	ID           TicketID
+	Result       Result
+	PromptTokens int
+	CachedTokens int
+	OutputTokens int
+	// FirstToken and Total are measured from the dispatch.
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// LoadReport is a target's published load. It lags: AsOf is the target's own
+// time of measurement, translated to the local clock.
+type LoadReport struct {
+	Target  string
+	AsOf    time.Time
+	Running int
+	Waiting int
+	// QueuedPrefillTokens wait for prefill on the target.
+	QueuedPrefillTokens int
+	CacheUsedBlocks     int
+	CacheTotalBlocks    int
+}
+
+// CacheEventKind is the kind of a cache event.
+type CacheEventKind int
+
+// Kinds of cache events.
+const (
+	CacheStored CacheEventKind = iota + 1
+	CacheRemoved
+	CacheCleared
+)
+
+// CacheEvent tells of prompt blocks that a target stored in its prefix cache or
+// removed from it. Sequence numbers of one target rise by one; a gap means lost events.
+type CacheEvent struct {
+	Sequence int64
+	Kind     CacheEventKind
+	Blocks   []uint64
+}
+
+// Reason tells why a ticket was refused or cancelled.
+type Reason string
+
+// Reasons of refusals and cancellations.
+const (
+	ReasonQueueFull     Reason = "queue_full"
+	ReasonDeadline      Reason = "deadline"
+	ReasonNoTarget      Reason = "no_target"
+	ReasonQuarantined   Reason = "quarantined"
+	ReasonShutOut       Reason = "shut_out"
+	ReasonHigherTier    Reason = "higher_tier"
+	ReasonEntryGone     Reason = "entry_gone"
+	ReasonUnknownTicket Reason = "unknown_ticket"
+)
+
+// Decision is a Grant, a Refuse or a Cancel.
+type Decision interface{ decision() }
+
+// Grant permits the entry to dispatch the ticket's request to the target until Expires.
+type Grant struct {
+	Ticket  TicketID
+	Target  string
+	Expires time.Time
+}
+
+// Refuse ends a waiting ticket without a dispatch.
+type Refuse struct {
+	Ticket     TicketID
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Cancel asks the entry to stop a running request.
+type Cancel struct {
+	Ticket TicketID
+	Reason Reason
+}
+
+func (Grant) decision()  {}
+func (Refuse) decision() {}
+func (Cancel) decision() {}
