--- /dev/null
+++ b/broker/client.go
@@ -0,0 +1,165 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// Sizes and periods of the client.
+const (
+	commandQueue = 1024
+	// ownerCheckPeriod is how often a link compares its peer with the owner.
+	ownerCheckPeriod = 200 * time.Millisecond
+	reconnectMin     = 20 * time.Millisecond
+	reconnectMax     = time.Second
+)
+
+// Stream is the client's side of one ticket stream.
+type Stream interface {
+	Send(*pb.TicketsRequest) error
+	Receive() (*pb.TicketsResponse, error)
+	Close() error
+}
+
+// Opener opens ticket streams to other instances.
+type Opener interface {
+	Open(ctx context.Context, peer Peer) (Stream, error)
+}
+
+// ClientSettings names the entry and what it uses.
+type ClientSettings struct {
+	Self        string
+	Incarnation uint64
+	Region      string
+	Resolver    Resolver
+	Opener      Opener
+	// Local serves the groups that this instance owns without a connection.
+	Local *Manager
+	Log   *zap.Logger
+}
+
+// Client submits the tickets of one entry.
+type Client struct {
+	settings ClientSettings
+	ctx      context.Context
+
+	mu       sync.Mutex
+	links    map[GroupKey]*link
+	sequence uint64
+	wg       sync.WaitGroup
+}
+
+// NewClient returns a Client whose links stop when ctx ends.
+func NewClient(ctx context.Context, settings ClientSettings) *Client {
+	return &Client{settings: settings, ctx: ctx, links: make(map[GroupKey]*link)}
+}
+
+// Wait blocks until all links have stopped.
+func (c *Client) Wait() { c.wg.Wait() }
+
+// Grant permits the dispatch of a request to a target until Expires.
+type Grant struct {
+	Target  string
+	Expires time.Time
+}
+
+// Call is one submitted ticket.
+type Call struct {
+	link     *link
+	ticket   *pb.Ticket
+	deadline time.Time
+	// decided gets the grant or the refusal; it has room for one.
+	decided   chan decision
+	cancelled chan struct{}
+
+	// The link's goroutine owns the fields below.
+	state     callState
+	target    string
+	grantedAt time.Time
+}
+
+type callState int
+
+const (
+	callWaiting callState = iota
+	callGranted
+	callEnded
+)
+
+type decision struct {
+	grant   Grant
+	refused *RefusedError
+}
+
+// Submit sends a ticket to the owner of the group. The client sets the ticket's
+// id. The deadline is the time by which the first token is due.
+func (c *Client) Submit(key GroupKey, ticket *pb.Ticket, deadline time.Time) *Call {
+	c.mu.Lock()
+	c.sequence++
+	ticket.Id = c.sequence
+	l, ok := c.links[key]
+	if !ok {
+		l = newLink(c, key)
+		c.links[key] = l
+		c.wg.Go(func() { l.run(c.ctx) })
+	}
+	c.mu.Unlock()
+	call := &Call{
+		link:      l,
+		ticket:    ticket,
+		deadline:  deadline,
+		decided:   make(chan decision, 1),
+		cancelled: make(chan struct{}),
+	}
+	l.do(func() { l.submit(call) })
+	return call
+}
+
+// Wait returns the broker's grant. The error is a *RefusedError or the
+// context's error, in which case the ticket is withdrawn.
+func (call *Call) Wait(ctx context.Context) (Grant, error) {
+	select {
+	case d := <-call.decided:
+		if d.refused != nil {
+			return Grant{}, d.refused
+		}
+		return d.grant, nil
+	case <-ctx.Done():
+		call.link.do(func() { call.link.withdraw(call) })
+		return Grant{}, ctx.Err()
+	}
+}
+
+// Cancelled is closed when the broker asks to stop the running request.
+func (call *Call) Cancelled() <-chan struct{} { return call.cancelled }
+
+// Dispatched tells the broker that the grant is being used.
+func (call *Call) Dispatched() {
+	call.link.do(func() { call.link.dispatched(call) })
+}
+
+// Complete ends a granted call. The client sets the id of the completion.
+func (call *Call) Complete(completion *pb.Completion) {
+	completion.Id = call.ticket.GetId()
+	call.link.do(func() { call.link.complete(call, completion) })
+}
+
+// message returns a copy of the ticket with the time that is left. A copy,
+// because a local session reads it after the link has gone on.
+func (call *Call) message(now time.Time) *pb.Ticket {
+	m := proto.CloneOf(call.ticket)
+	m.DeadlineMs = call.deadline.Sub(now).Milliseconds()
+	return m
+}
+
+// noBroker refuses a ticket that no broker has decided in time.
+func noBroker() decision {
+	return decision{refused: &RefusedError{Reason: scheduler.ReasonNoTarget}}
+}
--- /dev/null
+++ b/broker/convert.go
@@ -0,0 +1,97 @@
+package broker
+
+import (
+	"time"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// toTicket converts a message of the named entry. The weight of the workspace
+// comes from the broker's own configuration.
+func toTicket(now time.Time, from *pb.Hello, m *pb.Ticket, weight float64) scheduler.Ticket {
+	return scheduler.Ticket{
+		ID:           ticketID(from, m.GetId()),
+		Workspace:    m.GetWorkspace(),
+		Weight:       weight,
+		Tier:         scheduler.Rank(m.GetTier()),
+		Route:        m.GetRoute(),
+		Version:      m.GetVersion(),
+		PromptTokens: int(m.GetPromptTokens()),
+		OutputTokens: int(m.GetOutputTokens()),
+		Prefix:       m.GetPrefix(),
+		BodyBytes:    m.GetBodyBytes(),
+		Region:       from.GetRegion(),
+		Deadline:     now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Fingerprint:  m.GetFingerprint(),
+		Cancellable:  m.GetCancellable(),
+		Idempotent:   m.GetIdempotent(),
+		Avoid:        m.GetAvoid(),
+	}
+}
+
+func ticketID(from *pb.Hello, sequence uint64) scheduler.TicketID {
+	return scheduler.TicketID{
+		Instance:    from.GetInstance(),
+		Incarnation: from.GetIncarnation(),
+		Sequence:    sequence,
+	}
+}
+
+var results = map[pb.Result]scheduler.Result{
+	pb.Result_RESULT_SERVED:         scheduler.ResultServed,
+	pb.Result_RESULT_FAILED:         scheduler.ResultFailed,
+	pb.Result_RESULT_NOT_DISPATCHED: scheduler.ResultNotDispatched,
+	pb.Result_RESULT_CANCELLED:      scheduler.ResultCancelled,
+	pb.Result_RESULT_TARGET_DIED:    scheduler.ResultTargetDied,
+}
+
+func toCompletion(from *pb.Hello, m *pb.Completion) scheduler.Completion {
+	result, ok := results[m.GetResult()]
+	if !ok {
+		result = scheduler.ResultFailed
+	}
+	return scheduler.Completion{
+		ID:           ticketID(from, m.GetId()),
+		Result:       result,
+		PromptTokens: int(m.GetPromptTokens()),
+		CachedTokens: int(m.GetCachedTokens()),
+		OutputTokens: int(m.GetOutputTokens()),
+		FirstToken:   time.Duration(m.GetFirstTokenMs()) * time.Millisecond,
+		Total:        time.Duration(m.GetTotalMs()) * time.Millisecond,
+	}
+}
+
+// addDecision appends a decision to the response of its entry.
+func addDecision(now time.Time, r *pb.TicketsResponse, d scheduler.Decision) {
+	switch d := d.(type) {
+	case scheduler.Grant:
+		r.Grant = append(r.Grant, &pb.GrantMessage{
+			Id:      d.Ticket.Sequence,
+			Target:  d.Target,
+			ValidMs: d.Expires.Sub(now).Milliseconds(),
+		})
+	case scheduler.Refuse:
+		r.Refuse = append(r.Refuse, &pb.RefuseMessage{
+			Id:           d.Ticket.Sequence,
+			Reason:       string(d.Reason),
+			RetryAfterMs: d.RetryAfter.Milliseconds(),
+		})
+	case scheduler.Cancel:
+		r.Cancel = append(r.Cancel, &pb.CancelMessage{Id: d.Ticket.Sequence, Reason: string(d.Reason)})
+	}
+}
+
+// entryOf returns the entry that a decision is for.
+func entryOf(d scheduler.Decision) (scheduler.TicketID, bool) {
+	switch d := d.(type) {
+	case scheduler.Grant:
+		return d.Ticket, true
+	case scheduler.Refuse:
+		return d.Ticket, true
+	case scheduler.Cancel:
+		return d.Ticket, true
+	default:
+		return scheduler.TicketID{}, false
+	}
+}
--- /dev/null
+++ b/broker/link.go
@@ -0,0 +1,331 @@
+package broker
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// link keeps one group's ticket stream to the group's owner. Its goroutine owns
+// all its fields but commands. When the owner changes or the stream breaks, the
+// link sends the waiting tickets and the running grants again.
+type link struct {
+	client   *Client
+	key      GroupKey
+	commands chan func()
+	calls    map[uint64]*Call
+
+	peer     Peer
+	stream   Stream
+	received chan received
+	out      *pb.TicketsRequest
+	backoff  time.Duration
+	retryAt  time.Time
+}
+
+type received struct {
+	stream   Stream
+	response *pb.TicketsResponse
+	err      error
+}
+
+func newLink(c *Client, key GroupKey) *link {
+	return &link{
+		client:   c,
+		key:      key,
+		commands: make(chan func(), commandQueue),
+		calls:    make(map[uint64]*Call),
+		received: make(chan received, sessionQueue),
+		out:      &pb.TicketsRequest{},
+	}
+}
+
+// do runs f in the link's goroutine.
+func (l *link) do(f func()) {
+	select {
+	case l.commands <- f:
+	case <-l.client.ctx.Done():
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	ticker := time.NewTicker(ownerCheckPeriod)
+	defer ticker.Stop()
+	defer l.disconnect()
+	for {
+		l.connect(ctx)
+		l.flush()
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.commands:
+			l.drain(f)
+		case r := <-l.received:
+			l.handle(r)
+		case now := <-ticker.C:
+			l.expire(now)
+			l.followOwner()
+		case <-l.retryTimer():
+		}
+	}
+}
+
+func (l *link) drain(first func()) {
+	first()
+	for range maxBatch {
+		select {
+		case f := <-l.commands:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// retryTimer fires when a lost stream may be opened again.
+func (l *link) retryTimer() <-chan time.Time {
+	if l.stream != nil || len(l.calls) == 0 {
+		return nil
+	}
+	return time.After(time.Until(l.retryAt))
+}
+
+// connect opens a stream to the owner and sends what the owner must know. A link
+// without calls stays closed.
+func (l *link) connect(ctx context.Context) {
+	if l.stream != nil || len(l.calls) == 0 || time.Now().Before(l.retryAt) {
+		return
+	}
+	owner, ok := l.client.settings.Resolver.Owner(l.key)
+	if !ok {
+		l.delayReconnect()
+		return
+	}
+	hello := &pb.Hello{
+		Instance:    l.client.settings.Self,
+		Incarnation: l.client.settings.Incarnation,
+		Region:      l.client.settings.Region,
+		Pool:        l.key.Pool,
+		Shard:       int32(l.key.Shard),
+	}
+	stream, err := l.open(ctx, owner, hello)
+	if err != nil {
+		l.client.settings.Log.Debug("ticket stream not opened",
+			zap.Stringer("group", l.key), zap.String("owner", owner.Name), zap.Error(err))
+		l.delayReconnect()
+		return
+	}
+	l.stream, l.peer = stream, owner
+	go l.receive(ctx, stream)
+	l.out = l.resend()
+	l.out.Hello = hello
+}
+
+func (l *link) open(ctx context.Context, owner Peer, hello *pb.Hello) (Stream, error) {
+	if owner.Name == l.client.settings.Self && l.client.settings.Local != nil {
+		return l.client.settings.Local.Join(hello)
+	}
+	return l.client.settings.Opener.Open(ctx, owner)
+}
+
+// resend collects the waiting tickets and the running grants.
+func (l *link) resend() *pb.TicketsRequest {
+	request := &pb.TicketsRequest{}
+	now := time.Now()
+	for _, call := range l.calls {
+		if call.state == callGranted {
+			request.Running = append(request.Running, &pb.Running{
+				Ticket: call.message(now),
+				Target: call.target,
+				AgeMs:  now.Sub(call.grantedAt).Milliseconds(),
+			})
+			continue
+		}
+		request.Submit = append(request.Submit, call.message(now))
+	}
+	return request
+}
+
+// receive passes on responses until the stream ends.
+func (l *link) receive(ctx context.Context, stream Stream) {
+	for {
+		response, err := stream.Receive()
+		select {
+		case l.received <- received{stream, response, err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) handle(r received) {
+	if r.stream != l.stream {
+		return // from a stream that was given up
+	}
+	if r.err != nil || r.response.GetNotBroker() != "" {
+		l.lost()
+		return
+	}
+	l.backoff = 0
+	for _, m := range r.response.GetGrant() {
+		l.grant(m)
+	}
+	for _, m := range r.response.GetRefuse() {
+		l.refuse(m)
+	}
+	for _, m := range r.response.GetCancel() {
+		if call, ok := l.calls[m.GetId()]; ok && call.state == callGranted {
+			closeOnce(call.cancelled)
+		}
+	}
+}
+
+func (l *link) grant(m *pb.GrantMessage) {
+	call, ok := l.calls[m.GetId()]
+	if !ok {
+		// Withdrawn while the grant was on its way: give the slot back.
+		l.out.Complete = append(l.out.Complete, &pb.Completion{
+			Id: m.GetId(), Result: pb.Result_RESULT_NOT_DISPATCHED,
+		})
+		return
+	}
+	if call.state != callWaiting {
+		return
+	}
+	now := time.Now()
+	call.state, call.target, call.grantedAt = callGranted, m.GetTarget(), now
+	call.decided <- decision{grant: Grant{
+		Target:  m.GetTarget(),
+		Expires: now.Add(time.Duration(m.GetValidMs()) * time.Millisecond),
+	}}
+}
+
+func (l *link) refuse(m *pb.RefuseMessage) {
+	call, ok := l.calls[m.GetId()]
+	if !ok || call.state != callWaiting {
+		return
+	}
+	l.end(call)
+	call.decided <- decision{refused: &RefusedError{
+		Reason:     scheduler.Reason(m.GetReason()),
+		RetryAfter: m.GetRetryAfterMs(),
+	}}
+}
+
+func (l *link) submit(call *Call) {
+	l.calls[call.ticket.GetId()] = call
+	if l.stream != nil {
+		l.out.Submit = append(l.out.Submit, call.message(time.Now()))
+	}
+}
+
+func (l *link) withdraw(call *Call) {
+	switch call.state {
+	case callWaiting:
+		l.end(call)
+		if l.stream != nil {
+			l.out.Withdraw = append(l.out.Withdraw, call.ticket.GetId())
+		}
+	case callGranted:
+		l.complete(call, &pb.Completion{Id: call.ticket.GetId(), Result: pb.Result_RESULT_NOT_DISPATCHED})
+	}
+}
+
+func (l *link) dispatched(call *Call) {
+	if call.state == callGranted && l.stream != nil {
+		l.out.Dispatched = append(l.out.Dispatched, call.ticket.GetId())
+	}
+}
+
+func (l *link) complete(call *Call, completion *pb.Completion) {
+	if call.state == callEnded {
+		return
+	}
+	l.end(call)
+	if l.stream != nil {
+		l.out.Complete = append(l.out.Complete, completion)
+	}
+}
+
+func (l *link) end(call *Call) {
+	call.state = callEnded
+	delete(l.calls, call.ticket.GetId())
+}
+
+// expire refuses tickets that no broker has decided in time, for example
+// because none can be reached.
+func (l *link) expire(now time.Time) {
+	for _, call := range l.calls {
+		if call.state == callWaiting && now.After(call.deadline.Add(decisionGrace)) {
+			l.withdraw(call)
+			call.decided <- noBroker()
+		}
+	}
+}
+
+// decisionGrace is the time that a decision may take to arrive after the deadline.
+const decisionGrace = 250 * time.Millisecond
+
+// followOwner gives up a stream to an instance that no longer owns the group.
+func (l *link) followOwner() {
+	if l.stream == nil {
+		return
+	}
+	if owner, ok := l.client.settings.Resolver.Owner(l.key); ok && owner != l.peer {
+		l.disconnect()
+	}
+}
+
+func (l *link) flush() {
+	if l.stream == nil || isEmpty(l.out) {
+		return
+	}
+	request := l.out
+	l.out = &pb.TicketsRequest{}
+	if err := l.stream.Send(request); err != nil {
+		l.lost()
+	}
+}
+
+func isEmpty(r *pb.TicketsRequest) bool {
+	return r.GetHello() == nil && len(r.GetSubmit()) == 0 && len(r.GetWithdraw()) == 0 &&
+		len(r.GetComplete()) == 0 && len(r.GetRunning()) == 0 && len(r.GetDispatched()) == 0
+}
+
+// lost closes the stream and delays the next try.
+func (l *link) lost() {
+	l.disconnect()
+	l.delayReconnect()
+}
+
+func (l *link) disconnect() {
+	if l.stream == nil {
+		return
+	}
+	_ = l.stream.Close() // the peer notices the end of the stream either way
+	l.stream = nil
+	l.out = &pb.TicketsRequest{}
+}
+
+// delayReconnect doubles the delay up to reconnectMax, with jitter so that the
+// entries of a dead broker do not all come to its successor at once.
+func (l *link) delayReconnect() {
+	l.backoff = min(max(2*l.backoff, reconnectMin), reconnectMax)
+	l.retryAt = time.Now().Add(l.backoff/2 + rand.N(l.backoff))
+}
+
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
--- /dev/null
+++ b/broker/manager.go
@@ -0,0 +1,217 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// GroupSettings is what the configuration says of a group.
+type GroupSettings struct {
+	Config  scheduler.GroupConfig
+	Targets []scheduler.Target
+	// Addresses holds the base URL of each target.
+	Addresses map[string]string
+}
+
+// Source gives the settings of groups from the configuration in force.
+type Source interface {
+	// Group returns false for a pool that is not configured.
+	Group(key GroupKey) (GroupSettings, bool)
+	// Weight is the share of a workspace inside a tier.
+	Weight(workspace string) float64
+}
+
+// Manager runs the groups that this instance owns.
+type Manager struct {
+	self     string
+	resolver Resolver
+	source   Source
+	log      *zap.Logger
+
+	mu      sync.Mutex
+	runners map[GroupKey]*runner
+	ctx     context.Context
+	wg      sync.WaitGroup
+	poller  *poller
+}
+
+// NewManager returns a Manager whose groups stop when ctx ends.
+func NewManager(ctx context.Context, self string, resolver Resolver, source Source, reports Reports, log *zap.Logger) *Manager {
+	return &Manager{
+		self:     self,
+		resolver: resolver,
+		source:   source,
+		log:      log,
+		runners:  make(map[GroupKey]*runner),
+		ctx:      ctx,
+		poller:   &poller{reports: reports},
+	}
+}
+
+// Join opens a session for an entry. It returns a *NotOwnerError if another
+// instance owns the group.
+func (m *Manager) Join(hello *pb.Hello) (*Session, error) {
+	key := GroupKey{Pool: hello.GetPool(), Shard: int(hello.GetShard())}
+	owner, ok := m.resolver.Owner(key)
+	if !ok || owner.Name != m.self {
+		return nil, &NotOwnerError{Key: key, Owner: owner.Name}
+	}
+	r, err := m.runner(key)
+	if err != nil {
+		return nil, err
+	}
+	s := &Session{
+		hello:  hello,
+		runner: r,
+		out:    make(chan *pb.TicketsResponse, sessionQueue),
+		closed: make(chan struct{}),
+	}
+	if err := r.post(m.ctx, r.join(s)); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// runner returns the running group, and starts it if needed.
+func (m *Manager) runner(key GroupKey) (*runner, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.runners[key]; ok {
+		return r, nil
+	}
+	if m.ctx.Err() != nil {
+		return nil, m.ctx.Err()
+	}
+	settings, ok := m.source.Group(key)
+	if !ok {
+		return nil, &NotOwnerError{Key: key}
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	r := &runner{
+		key:      key,
+		group:    scheduler.NewGroup(settings.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		events:   make(chan event, eventQueue),
+		sessions: make(map[entryKey]*Session),
+		weight:   m.source.Weight,
+		log:      m.log.With(zap.Stringer("group", key)),
+		done:     make(chan struct{}),
+		cancel:   cancel,
+	}
+	m.runners[key] = r
+	r.events <- r.setTargets(settings.Targets)
+	m.wg.Go(func() { r.run(ctx) })
+	m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
+	r.log.Info("broker duty taken")
+	return r, nil
+}
+
+// Refresh gives the groups their targets from the configuration in force and
+// stops the groups that this instance no longer owns.
+func (m *Manager) Refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, r := range m.runners {
+		owner, _ := m.resolver.Owner(key)
+		settings, ok := m.source.Group(key)
+		if !ok || owner.Name != m.self {
+			r.log.Info("broker duty given up", zap.String("owner", owner.Name))
+			r.cancel()
+			delete(m.runners, key)
+			continue
+		}
+		// A runner whose queue is full gets its targets at the next refresh.
+		select {
+		case r.events <- r.setTargets(settings.Targets):
+		default:
+		}
+	}
+}
+
+// Wait blocks until all groups have stopped.
+func (m *Manager) Wait() { m.wg.Wait() }
+
+func (m *Manager) pollTargets(key GroupKey) []PollTarget {
+	settings, ok := m.source.Group(key)
+	if !ok {
+		return nil
+	}
+	targets := make([]PollTarget, 0, len(settings.Targets))
+	for _, t := range settings.Targets {
+		if !t.Service {
+			targets = append(targets, PollTarget{Name: t.Name, Address: settings.Addresses[t.Name]})
+		}
+	}
+	return targets
+}
+
+// TicketStream is the server's side of PeerService.Tickets.
+type TicketStream interface {
+	Receive() (*pb.TicketsRequest, error)
+	Send(*pb.TicketsResponse) error
+}
+
+// Serve handles one PeerService.Tickets stream until it ends.
+func (m *Manager) Serve(ctx context.Context, stream TicketStream) error {
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	if first.GetHello() == nil {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first message must name the sender"))
+	}
+	session, err := m.Join(first.GetHello())
+	var notOwner *NotOwnerError
+	if errors.As(err, &notOwner) {
+		return stream.Send(&pb.TicketsResponse{NotBroker: notOwner.Owner})
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = session.Close() }()
+	if err := session.Send(first); err != nil {
+		return err
+	}
+	go receiveAll(stream, session)
+	return sendAll(ctx, stream, session)
+}
+
+// receiveAll ends when the stream ends, which connect does when Serve returns.
+func receiveAll(stream TicketStream, session *Session) {
+	defer session.close()
+	for {
+		request, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		if err := session.Send(request); err != nil {
+			return
+		}
+	}
+}
+
+func sendAll(ctx context.Context, stream TicketStream, session *Session) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-session.closed:
+			return nil
+		case response := <-session.out:
+			if err := stream.Send(response); err != nil {
+				if errors.Is(err, io.EOF) {
+					return nil
+				}
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/broker/runner.go
@@ -0,0 +1,167 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// Sizes and periods of a runner.
+const (
+	eventQueue   = 1024
+	sessionQueue = 256
+	tickPeriod   = 20 * time.Millisecond
+	// maxBatch bounds the events that are handled before decisions go out.
+	maxBatch = 128
+)
+
+// event is handled by the runner's goroutine and returns decisions.
+type event func(now time.Time) []scheduler.Decision
+
+// runner owns one group's scheduler. All access to the group goes through its
+// events, which one goroutine handles.
+type runner struct {
+	key      GroupKey
+	group    *scheduler.Group
+	events   chan event
+	sessions map[entryKey]*Session
+	weight   func(workspace string) float64
+	log      *zap.Logger
+	done     chan struct{}
+	cancel   context.CancelFunc
+}
+
+type entryKey struct {
+	instance    string
+	incarnation uint64
+}
+
+func (r *runner) run(ctx context.Context) {
+	defer close(r.done)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		var decisions []scheduler.Decision
+		select {
+		case <-ctx.Done():
+			r.closeSessions()
+			return
+		case e := <-r.events:
+			decisions = r.batch(e)
+		case <-ticker.C:
+			decisions = r.group.Tick(time.Now())
+		}
+		r.deliver(time.Now(), decisions)
+	}
+}
+
+// batch handles the event and those that wait behind it, so that entries get
+// few messages with many records.
+func (r *runner) batch(first event) []scheduler.Decision {
+	decisions := first(time.Now())
+	for range maxBatch {
+		select {
+		case e := <-r.events:
+			decisions = append(decisions, e(time.Now())...)
+		default:
+			return decisions
+		}
+	}
+	return decisions
+}
+
+func (r *runner) deliver(now time.Time, decisions []scheduler.Decision) {
+	if len(decisions) == 0 {
+		return
+	}
+	responses := make(map[entryKey]*pb.TicketsResponse)
+	for _, d := range decisions {
+		id, ok := entryOf(d)
+		if !ok {
+			continue
+		}
+		key := entryKey{id.Instance, id.Incarnation}
+		if responses[key] == nil {
+			responses[key] = &pb.TicketsResponse{}
+		}
+		addDecision(now, responses[key], d)
+	}
+	for key, response := range responses {
+		if session, ok := r.sessions[key]; ok {
+			session.push(response)
+		}
+	}
+}
+
+func (r *runner) closeSessions() {
+	for _, s := range r.sessions {
+		s.close()
+	}
+}
+
+// post queues an event; it fails when the runner has stopped.
+func (r *runner) post(ctx context.Context, e event) error {
+	select {
+	case r.events <- e:
+		return nil
+	case <-r.done:
+		return &NotOwnerError{Key: r.key}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *runner) join(s *Session) event {
+	return func(time.Time) []scheduler.Decision {
+		key := s.entry()
+		if old, ok := r.sessions[key]; ok {
+			old.close()
+		}
+		r.sessions[key] = s
+		return nil
+	}
+}
+
+// leave drops the waiting tickets of an entry whose session has ended, unless
+// the entry has joined again.
+func (r *runner) leave(s *Session) event {
+	return func(now time.Time) []scheduler.Decision {
+		key := s.entry()
+		if r.sessions[key] != s {
+			return nil
+		}
+		delete(r.sessions, key)
+		r.group.EntryGone(now, key.instance, key.incarnation)
+		return nil
+	}
+}
+
+func (r *runner) handle(s *Session, m *pb.TicketsRequest) event {
+	return func(now time.Time) []scheduler.Decision {
+		if r.sessions[s.entry()] != s {
+			return nil
+		}
+		var decisions []scheduler.Decision
+		for _, running := range m.GetRunning() {
+			t := toTicket(now, s.hello, running.GetTicket(), r.weight(running.GetTicket().GetWorkspace()))
+			r.group.Adopt(now, t, running.GetTarget(), time.Duration(running.GetAgeMs())*time.Millisecond)
+		}
+		for _, sequence := range m.GetDispatched() {
+			r.group.Dispatched(now, ticketID(s.hello, sequence))
+		}
+		for _, c := range m.GetComplete() {
+			decisions = append(decisions, r.group.Complete(now, toCompletion(s.hello, c))...)
+		}
+		for _, sequence := range m.GetWithdraw() {
+			decisions = append(decisions, r.group.Withdraw(now, ticketID(s.hello, sequence))...)
+		}
+		for _, t := range m.GetSubmit() {
+			decisions = append(decisions, r.group.Submit(now, toTicket(now, s.hello, t, r.weight(t.GetWorkspace())))...)
+		}
+		return decisions
+	}
+}
--- /dev/null
+++ b/broker/session.go
@@ -0,0 +1,61 @@
+package broker
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// Session is one entry's connection to a group on the instance that owns it.
+type Session struct {
+	hello  *pb.Hello
+	runner *runner
+	out    chan *pb.TicketsResponse
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *Session) entry() entryKey {
+	return entryKey{s.hello.GetInstance(), s.hello.GetIncarnation()}
+}
+
+// push queues a response. An entry that does not read its responses loses the
+// session and sends its tickets again, so that it cannot stop the others.
+func (s *Session) push(response *pb.TicketsResponse) {
+	select {
+	case s.out <- response:
+	default:
+		s.close()
+	}
+}
+
+func (s *Session) close() { s.once.Do(func() { close(s.closed) }) }
+
+// Send hands a request to the group.
+func (s *Session) Send(request *pb.TicketsRequest) error {
+	select {
+	case <-s.closed:
+		return io.EOF
+	default:
+		return s.runner.post(context.Background(), s.runner.handle(s, request))
+	}
+}
+
+// Receive returns the next response, or io.EOF when the session has ended.
+func (s *Session) Receive() (*pb.TicketsResponse, error) {
+	select {
+	case response := <-s.out:
+		return response, nil
+	case <-s.closed:
+		return nil, io.EOF
+	}
+}
+
+// Close ends the session and drops the entry's waiting tickets.
+func (s *Session) Close() error {
+	s.close()
+	_ = s.runner.post(context.Background(), s.runner.leave(s)) // a stopped runner has no tickets left
+	return nil
+}
--- /dev/null
+++ b/engine/manage.go
@@ -0,0 +1,196 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// manageTimeout bounds one management call.
+const manageTimeout = 3 * time.Second
+
+// State is what a target says of itself.
+type State struct {
+	Versions []string `json:"versions"`
+	Loading  []string `json:"loading"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+	Fence    int64    `json:"fence"`
+}
+
+// Order is a desired state of a target. Repeating an order has no further effect.
+type Order struct {
+	ID       string   `json:"id"`
+	Fence    int64    `json:"fence"`
+	Versions []string `json:"versions"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+}
+
+// StaleFenceError is a target's refusal of an order with an old fencing token.
+type StaleFenceError struct {
+	// Seen is the highest fencing token that the target has seen.
+	Seen int64 `json:"fence"`
+}
+
+func (e *StaleFenceError) Error() string {
+	return fmt.Sprintf("order refused: the target has seen fencing token %d", e.Seen)
+}
+
+// Cancel ends a running stream. A stream that the engine does not know is no error.
+func (c *Client) Cancel(ctx context.Context, target Target, stream string) error {
+	return c.call(ctx, http.MethodDelete, target.Address+"/v1/streams/"+stream, nil, nil)
+}
+
+type loadBody struct {
+	AsOfUnixMS          int64 `json:"as_of_unix_ms"`
+	Running             int   `json:"running"`
+	Waiting             int   `json:"waiting"`
+	QueuedPrefillTokens int   `json:"queued_prefill_tokens"`
+	CacheUsedBlocks     int   `json:"cache_used_blocks"`
+	CacheTotalBlocks    int   `json:"cache_total_blocks"`
+}
+
+// Load returns the target's published load, which lags.
+func (c *Client) Load(ctx context.Context, target Target) (scheduler.LoadReport, error) {
+	var body loadBody
+	if err := c.call(ctx, http.MethodGet, target.Address+"/v1/load", nil, &body); err != nil {
+		return scheduler.LoadReport{}, err
+	}
+	return scheduler.LoadReport{
+		Target:              target.Name,
+		AsOf:                time.UnixMilli(body.AsOfUnixMS),
+		Running:             body.Running,
+		Waiting:             body.Waiting,
+		QueuedPrefillTokens: body.QueuedPrefillTokens,
+		CacheUsedBlocks:     body.CacheUsedBlocks,
+		CacheTotalBlocks:    body.CacheTotalBlocks,
+	}, nil
+}
+
+type cacheEventsBody struct {
+	Events []struct {
+		Sequence int64    `json:"sequence"`
+		Kind     string   `json:"kind"`
+		Blocks   []string `json:"blocks"`
+	} `json:"events"`
+}
+
+// CacheEvents returns the target's cache events after the sequence number.
+func (c *Client) CacheEvents(ctx context.Context, target Target, after int64) ([]scheduler.CacheEvent, error) {
+	var body cacheEventsBody
+	url := target.Address + "/v1/cache_events?after=" + strconv.FormatInt(after, 10)
+	if err := c.call(ctx, http.MethodGet, url, nil, &body); err != nil {
+		return nil, err
+	}
+	events := make([]scheduler.CacheEvent, 0, len(body.Events))
+	for _, e := range body.Events {
+		kind, ok := cacheEventKinds[e.Kind]
+		if !ok {
+			continue
+		}
+		blocks, err := parseBlocks(e.Blocks)
+		if err != nil {
+			return nil, err
+		}
+		events = append(events, scheduler.CacheEvent{Sequence: e.Sequence, Kind: kind, Blocks: blocks})
+	}
+	return events, nil
+}
+
+var cacheEventKinds = map[string]scheduler.CacheEventKind{
+	"stored":  scheduler.CacheStored,
+	"removed": scheduler.CacheRemoved,
+	"cleared": scheduler.CacheCleared,
+}
+
+func parseBlocks(blocks []string) ([]uint64, error) {
+	parsed := make([]uint64, 0, len(blocks))
+	for _, b := range blocks {
+		hash, err := strconv.ParseUint(b, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("block hash %q: %w", b, err)
+		}
+		parsed = append(parsed, hash)
+	}
+	return parsed, nil
+}
+
+// State asks the target for its versions, adapters and role.
+func (c *Client) State(ctx context.Context, target Target) (State, error) {
+	var state State
+	err := c.call(ctx, http.MethodGet, target.Address+"/v1/state", nil, &state)
+	return state, err
+}
+
+// Order sends a desired state. It returns a *StaleFenceError if the target
+// checks fencing tokens and has seen a higher one.
+func (c *Client) Order(ctx context.Context, target Target, order Order) error {
+	return c.call(ctx, http.MethodPost, target.Address+"/v1/orders", order, nil)
+}
+
+// Alive tells whether the target accepts connections and answers a status call.
+func (c *Client) Alive(ctx context.Context, target Target) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.Address+"/v1/state", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.manage.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
+// call makes an idempotent management call.
+func (c *Client) call(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.manage.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	return decodeManaged(resp.StatusCode, data, out)
+}
+
+func decodeManaged(status int, data []byte, out any) error {
+	switch {
+	case status == http.StatusConflict:
+		var stale StaleFenceError
+		if err := json.Unmarshal(data, &stale); err != nil {
+			return fmt.Errorf("decode refusal: %w", err)
+		}
+		return &stale
+	case status >= http.StatusBadRequest:
+		return &AnswerError{Kind: AnswerStatus, Status: status}
+	case out == nil || len(data) == 0:
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
