--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Order is the desired state of an engine. Fields that are absent or null keep
+// their values.
+type Order struct {
+	ID       string   `json:"id"`
+	Fence    int64    `json:"fence"`
+	Versions []string `json:"versions"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+}
+
+// State is the answer of /v1/state.
+type State struct {
+	Versions []string `json:"versions"`
+	Loading  []string `json:"loading"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+	Fence    int64    `json:"fence"`
+}
+
+type fenceBody struct {
+	Fence int64 `json:"fence"`
+}
+
+type orderState struct {
+	fence    int64
+	desired  []string
+	adapters []string
+	role     string
+	loading  map[string]*versionLoad
+}
+
+type versionLoad struct {
+	stop context.CancelFunc
+}
+
+func newOrderState(settings Settings) orderState {
+	return orderState{
+		desired:  slices.Clone(settings.Versions),
+		adapters: slices.Clone(settings.Adapters),
+		role:     settings.Role,
+		loading:  make(map[string]*versionLoad),
+	}
+}
+
+func (o *orderState) stopLoads() {
+	for _, l := range o.loading {
+		l.stop()
+	}
+	clear(o.loading)
+}
+
+func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+// State returns what the engine has loaded.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := State{
+		Versions: append([]string{}, e.versions...),
+		Loading:  []string{},
+		Adapters: append([]string{}, e.orders.adapters...),
+		Role:     e.orders.role,
+		Fence:    e.orders.fence,
+	}
+	for _, version := range e.orders.desired {
+		if e.orders.loading[version] != nil {
+			state.Loading = append(state.Loading, version)
+		}
+	}
+	return state
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(w, r)
+	if err != nil {
+		writeFailure(w, badRequest(err.Error()))
+		return
+	}
+	var order Order
+	if err := json.Unmarshal(body, &order); err != nil {
+		writeFailure(w, badRequest(err.Error()))
+		return
+	}
+	e.mu.Lock()
+	if !e.settings.IgnoreFencing && order.Fence < e.orders.fence {
+		fence := e.orders.fence
+		e.mu.Unlock()
+		writeJSON(w, http.StatusConflict, fenceBody{fence})
+		return
+	}
+	e.apply(order)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+// apply takes an order: it unloads versions at once and starts missing loads.
+func (e *Engine) apply(order Order) {
+	e.records.orders = append(e.records.orders, order)
+	e.orders.fence = order.Fence
+	if order.Role != "" {
+		e.orders.role = order.Role
+	}
+	if order.Adapters != nil {
+		e.orders.adapters = slices.Clone(order.Adapters)
+	}
+	if order.Versions == nil {
+		return
+	}
+	e.orders.desired = slices.Clone(order.Versions)
+	loaded := e.versions
+	e.versions = nil
+	for _, version := range order.Versions {
+		switch {
+		case slices.Contains(loaded, version):
+			e.versions = append(e.versions, version)
+		case e.orders.loading[version] == nil:
+			e.startLoad(version)
+		}
+	}
+	for version, l := range e.orders.loading {
+		if !slices.Contains(order.Versions, version) {
+			l.stop()
+			delete(e.orders.loading, version)
+		}
+	}
+}
+
+func (e *Engine) startLoad(version string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &versionLoad{stop: cancel}
+	e.orders.loading[version] = l
+	go func() {
+		defer cancel()
+		e.fetch(ctx)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.orders.loading[version] != l {
+			return // stopped, and possibly started anew
+		}
+		delete(e.orders.loading, version)
+		e.addVersion(version)
+	}()
+}
+
+// fetch takes the time of a version load, or returns when ctx ends.
+func (e *Engine) fetch(ctx context.Context) {
+	if e.settings.Weights != nil && e.settings.Weights.Fetch(ctx, e.settings.VersionBytes) != nil {
+		return
+	}
+	seconds := e.settings.LoadTime.Seconds() / e.settings.TimeScale
+	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// addVersion makes a version available, in the order that was asked for.
+func (e *Engine) addVersion(version string) {
+	loaded := append(slices.Clone(e.versions), version)
+	e.versions = nil
+	for _, candidate := range e.orders.desired {
+		if slices.Contains(loaded, candidate) {
+			e.versions = append(e.versions, candidate)
+		}
+	}
+}
