Stand-in service and link, and command standin

Cause: end-to-end tests need plain services that count runs, a slow link that can be cut, and each stand-in as its own process. Ruled out: restarting http.Server after a crash; it cannot be used again after Close, so httpserver creates one for each start. A weight store inside each engine process alone, because loads of several engines must share its rate; 'standin weights' serves it to several processes.

--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/basilloom/basilloom/internal/standin/engine"
+	"github.com/basilloom/basilloom/internal/standin/httpserver"
+	"github.com/basilloom/basilloom/internal/standin/link"
+	"github.com/basilloom/basilloom/internal/standin/service"
+)
+
+type engineCommand struct {
+	listenFlags
+	Versions        []string      `help:"Loaded versions, the default one first." default:"v1"`
+	Adapters        []string      `help:"Loaded adapters."`
+	Role            string        `help:"Role until an order changes it." default:"any"`
+	Prefill         float64       `help:"Prefill speed in tokens/s." default:"8000"`
+	Decode          float64       `help:"Decode speed of a single stream in tokens/s." default:"60"`
+	BatchSlowdown   float64       `help:"Part of the single-stream step time that each further stream adds." default:"0.03"`
+	PrefillChunk    int           `help:"Prompt tokens of one step." default:"256"`
+	Batch           int           `help:"Limit of running streams." default:"64"`
+	CacheBlocks     int           `help:"Memory in blocks of 64 tokens." default:"4096"`
+	OutputTokens    int           `help:"Answer length of requests without max_tokens." default:"64"`
+	TimeScale       float64       `help:"Divides the duration of steps and loads." default:"1"`
+	StreamRetention time.Duration `help:"How long a stream without client stays resumable." default:"30s"`
+	LoadLag         time.Duration `help:"Age of load reports." default:"1s"`
+	EventDelay      time.Duration `help:"Age at which cache events become visible." default:"1s"`
+	EventDropRate   float64       `help:"Probability that a cache event is lost." default:"0"`
+	Seed            uint64        `help:"Seed of random choices." default:"1"`
+	IgnoreFencing   bool          `help:"Accept orders with an old fencing token."`
+	LoadTime        time.Duration `help:"Time of a version load besides fetching the weights." default:"5s"`
+	VersionBytes    int64         `help:"Size of a version's weights in bytes." default:"0"`
+	WeightsRate     float64       `help:"Rate of an own weight store in bytes/s; 0 fetches at once." xor:"weights"`
+	WeightsAddress  string        `help:"Address of a shared weight store (standin weights)." xor:"weights"`
+	KVBlockBytes    int           `name:"kv-block-bytes" help:"Size of one exported cache block in bytes." default:"262144"`
+}
+
+// Run serves until a signal or an injected crash.
+func (c *engineCommand) Run(out output) error {
+	e := engine.New(c.settings())
+	defer e.Close()
+	return serve(out, "engine", c.listenFlags, e)
+}
+
+func (c *engineCommand) settings() engine.Settings {
+	settings := engine.Settings{
+		Versions:               c.Versions,
+		Adapters:               c.Adapters,
+		Role:                   c.Role,
+		PrefillTokensPerSecond: c.Prefill,
+		DecodeTokensPerSecond:  c.Decode,
+		BatchSlowdown:          c.BatchSlowdown,
+		PrefillChunkTokens:     c.PrefillChunk,
+		BatchLimit:             c.Batch,
+		CacheBlocks:            c.CacheBlocks,
+		DefaultOutputTokens:    c.OutputTokens,
+		TimeScale:              c.TimeScale,
+		StreamRetention:        c.StreamRetention,
+		LoadLag:                c.LoadLag,
+		EventDelay:             c.EventDelay,
+		EventDropRate:          c.EventDropRate,
+		Seed:                   c.Seed,
+		IgnoreFencing:          c.IgnoreFencing,
+		LoadTime:               c.LoadTime,
+		VersionBytes:           c.VersionBytes,
+		KVBlockBytes:           c.KVBlockBytes,
+		OnCrash:                crash,
+	}
+	switch {
+	case c.WeightsAddress != "":
+		settings.Weights = engine.RemoteWeightStore(c.WeightsAddress)
+	case c.WeightsRate > 0:
+		settings.Weights = engine.NewWeightStore(c.WeightsRate)
+	}
+	return settings
+}
+
+type weightsCommand struct {
+	listenFlags
+	Rate float64 `help:"Rate in bytes/s, shared by all fetches." required:""`
+}
+
+// Run serves until a signal.
+func (c *weightsCommand) Run(out output) error {
+	return serve(out, "weights", c.listenFlags, engine.NewWeightStore(c.Rate))
+}
+
+type serviceCommand struct {
+	listenFlags
+	Seed  uint64        `help:"Seed of random choices." default:"1"`
+	Delay time.Duration `help:"Time that a call takes." default:"0s"`
+}
+
+// Run serves until a signal or an injected crash.
+func (c *serviceCommand) Run(out output) error {
+	s, err := service.Listen(c.Listen, service.Settings{
+		Faults:  service.Faults{DelayMillis: c.Delay.Milliseconds()},
+		Seed:    c.Seed,
+		OnCrash: crash,
+	})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := out.ready(ready{Kind: "service", Address: s.Address()}); err != nil {
+		return err
+	}
+	waitForSignal()
+	return nil
+}
+
+type linkCommand struct {
+	listenFlags
+	Delay     time.Duration `help:"One-way delay." default:"12ms"`
+	Bandwidth float64       `help:"Bytes/s of each direction; 0 is unlimited." default:"3750000"`
+	Forward   []string      `help:"listen=target: connections from side A to side B."`
+	Backward  []string      `help:"listen=target: connections from side B to side A."`
+}
+
+// Run forwards until a signal. The listening address serves /stats and /fault.
+func (c *linkCommand) Run(out output) error {
+	l := link.New(link.Settings{Delay: c.Delay, BytesPerSecond: c.Bandwidth})
+	defer l.Close()
+	var addresses []string
+	for _, side := range []struct {
+		direction link.Direction
+		pairs     []string
+	}{{link.AToB, c.Forward}, {link.BToA, c.Backward}} {
+		for _, pair := range side.pairs {
+			listen, target, ok := strings.Cut(pair, "=")
+			if !ok {
+				return fmt.Errorf("%q is not listen=target", pair)
+			}
+			address, err := l.Forward(side.direction, listen, target)
+			if err != nil {
+				return err
+			}
+			addresses = append(addresses, address)
+		}
+	}
+	control := httpserver.New(c.Listen, l.Control())
+	if err := control.Start(); err != nil {
+		return err
+	}
+	defer control.Abort()
+	if err := out.ready(ready{Kind: "link", Address: control.Address(), Forwards: addresses}); err != nil {
+		return err
+	}
+	waitForSignal()
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,90 @@
+// Command standin runs one stand-in of an outside system as its own process. It
+// prints one JSON line with its address when it is ready.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/basilloom/basilloom/internal/standin/httpserver"
+)
+
+const (
+	envPrefix = "BASILLOOM_STANDIN"
+	// crashExitCode tells an injected crash from other failures.
+	crashExitCode = 3
+)
+
+// commands are the stand-ins. A further one is a struct that embeds listenFlags
+// and has a Run method that calls serve.
+type commands struct {
+	Engine  engineCommand  `cmd:"" help:"Run a model engine."`
+	Service serviceCommand `cmd:"" help:"Run a plain service."`
+	Link    linkCommand    `cmd:"" help:"Run a link between two sides."`
+	Weights weightsCommand `cmd:"" help:"Run a weight store that engines of several processes share."`
+}
+
+type listenFlags struct {
+	Listen string `help:"TCP address to listen at." default:"127.0.0.1:0"`
+}
+
+// ready is the line printed when a stand-in accepts connections.
+type ready struct {
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+	// Forwards are the listening addresses of a link, in the order of its flags.
+	Forwards []string `json:"forwards,omitempty"`
+}
+
+// output receives the ready line.
+type output struct{ io.Writer }
+
+func (o output) ready(line ready) error {
+	if err := json.NewEncoder(o).Encode(line); err != nil {
+		return fmt.Errorf("print the ready line: %w", err)
+	}
+	return nil
+}
+
+// serve serves a handler until SIGINT or SIGTERM.
+func serve(out output, kind string, flags listenFlags, handler http.Handler) error {
+	server := httpserver.New(flags.Listen, handler)
+	if err := server.Start(); err != nil {
+		return err
+	}
+	defer server.Abort()
+	if err := out.ready(ready{Kind: kind, Address: server.Address()}); err != nil {
+		return err
+	}
+	waitForSignal()
+	return nil
+}
+
+func waitForSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+}
+
+// crash ends the process without closing anything, as a crash does.
+func crash() {
+	os.Exit(crashExitCode)
+}
+
+func main() {
+	var cli commands
+	ctx := kong.Parse(&cli,
+		kong.Name("standin"),
+		kong.Description("Stand-ins of the systems around basilloom, for tests and demos."),
+		kong.DefaultEnvars(envPrefix),
+		kong.Bind(output{os.Stdout}),
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// fetchRetryPause is the time between attempts to read the weight store.
+const fetchRetryPause = time.Second
+
 // Order is the desired state of an engine. Fields that are absent or null keep
 // their values.
 type Order struct {
@@ -154,13 +157,22 @@
 	}()
 }
 
-// fetch takes the time of a version load, or returns when ctx ends.
+// fetch takes the time of a version load, or returns when ctx ends. It repeats
+// a failed read of the weight store.
 func (e *Engine) fetch(ctx context.Context) {
-	if e.settings.Weights != nil && e.settings.Weights.Fetch(ctx, e.settings.VersionBytes) != nil {
-		return
+	for e.settings.Weights != nil && ctx.Err() == nil {
+		if e.settings.Weights.Fetch(ctx, e.settings.VersionBytes) == nil {
+			break
+		}
+		pause(ctx, fetchRetryPause)
 	}
 	seconds := e.settings.LoadTime.Seconds() / e.settings.TimeScale
-	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+	pause(ctx, time.Duration(seconds*float64(time.Second)))
+}
+
+// pause returns after d or when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -51,7 +51,7 @@
 	VersionBytes int64
 	// Weights is the weight store; engines of one process may share it. Nil means
 	// that fetching weights takes no time.
-	Weights *WeightStore
+	Weights WeightSource
 	// KVBlockBytes is the size of one exported cache block.
 	KVBlockBytes int
 
