Add stand-ins of the table service, object store and instance list

Cause: code on the platform's services needs tests with outages, throttling and answers lost after the write took effect. Conclusion: faults are set by POST /fault or by Faults.Set. Default limits are 500 writes and 2,000 reads a second.

--- /dev/null
+++ b/internal/standin/fault/fault.go
@@ -0,0 +1,140 @@
+// Package fault injects failures into the stand-ins of platform services.
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Default rates of the stand-ins, as stated for the platform.
+const (
+	DefaultWritesPerSecond = 500
+	DefaultReadsPerSecond  = 2000
+)
+
+// Errors of Before.
+var (
+	ErrOutage    = errors.New("injected outage")
+	ErrThrottled = errors.New("rate limit of the service exceeded")
+)
+
+// Settings are the faults in force. They are also the body of POST /fault.
+type Settings struct {
+	// Outage makes every call fail without an effect.
+	Outage bool `json:"outage"`
+	// LatencyMillis delays each call: half before its effect and half after.
+	LatencyMillis int64 `json:"latency_ms"`
+	// LoseNext drops the answers of the next writes that take effect.
+	LoseNext int `json:"lose_next"`
+	// LoseProbability drops the answer of a write that took effect, 0 to 1.
+	LoseProbability float64 `json:"lose_probability"`
+	// WritesPerSecond and ReadsPerSecond limit the rate; 0 means the default.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	// Unlimited switches the rate limits off.
+	Unlimited bool `json:"unlimited"`
+}
+
+// Injector applies Settings. It is safe for concurrent use.
+type Injector struct {
+	mu       sync.Mutex
+	settings Settings
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+}
+
+// New returns an injector with the given faults.
+func New(settings Settings) *Injector {
+	i := &Injector{}
+	i.Set(settings)
+	return i
+}
+
+// Set replaces the faults in force.
+func (i *Injector) Set(settings Settings) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.settings = settings
+	i.reads = limiter(settings, settings.ReadsPerSecond, DefaultReadsPerSecond)
+	i.writes = limiter(settings, settings.WritesPerSecond, DefaultWritesPerSecond)
+}
+
+func limiter(settings Settings, perSecond, byDefault float64) *rate.Limiter {
+	if settings.Unlimited {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	if perSecond == 0 {
+		perSecond = byDefault
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Before delays a call and returns ErrOutage, ErrThrottled or the context's
+// error if the call must fail without an effect.
+func (i *Injector) Before(ctx context.Context, write bool) error {
+	if err := i.Delay(ctx); err != nil {
+		return err
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.settings.Outage {
+		return ErrOutage
+	}
+	limit := i.reads
+	if write {
+		limit = i.writes
+	}
+	if !limit.Allow() {
+		return ErrThrottled
+	}
+	return nil
+}
+
+// Delay waits half of the latency.
+func (i *Injector) Delay(ctx context.Context) error {
+	i.mu.Lock()
+	wait := time.Duration(i.settings.LatencyMillis) * time.Millisecond / 2
+	i.mu.Unlock()
+	if wait == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// LoseAnswer reports whether the answer of a write that took effect is dropped.
+func (i *Injector) LoseAnswer() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.settings.LoseNext > 0 {
+		i.settings.LoseNext--
+		return true
+	}
+	return i.settings.LoseProbability > 0 && rand.Float64() < i.settings.LoseProbability
+}
+
+// ServeHTTP sets the faults from a JSON body.
+func (i *Injector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var settings Settings
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	i.Set(settings)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/instances/instances.go
@@ -0,0 +1,90 @@
+// Package instances is a stand-in of the platform's lagging list of instances.
+package instances
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basilloom/basilloom/internal/standin/fault"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// Server serves the list on GET /instances. PUT /instances replaces it, and
+// the change shows after the lag.
+type Server struct {
+	// Faults holds the faults in force.
+	Faults *fault.Injector
+
+	mux      *http.ServeMux
+	mu       sync.Mutex
+	lag      time.Duration
+	versions []version
+}
+
+type version struct {
+	visible time.Time
+	records []platform.InstanceRecord
+}
+
+// New returns an empty list with the given lag.
+func New(lag time.Duration, faults fault.Settings) *Server {
+	s := &Server{Faults: fault.New(faults), mux: http.NewServeMux(), lag: lag}
+	s.mux.Handle("POST /fault", s.Faults)
+	s.mux.HandleFunc("GET /instances", s.get)
+	s.mux.HandleFunc("PUT /instances", s.put)
+	return s
+}
+
+// SetLag changes the lag of later changes.
+func (s *Server) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// Set replaces the list after the lag.
+func (s *Server) Set(records []platform.InstanceRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = append(s.versions, version{time.Now().Add(s.lag), slices.Clone(records)})
+}
+
+// ServeHTTP answers the list and sets faults on /fault.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) visible() []platform.InstanceRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for len(s.versions) > 1 && !s.versions[1].visible.After(now) {
+		s.versions = s.versions[1:]
+	}
+	if len(s.versions) == 0 || s.versions[0].visible.After(now) {
+		return []platform.InstanceRecord{}
+	}
+	return s.versions[0].records
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	if err := s.Faults.Before(r.Context(), false); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.visible())
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var records []platform.InstanceRecord
+	if err := json.NewDecoder(r.Body).Decode(&records); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(records)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/memtable/memtable.go
@@ -0,0 +1,129 @@
+// Package memtable is an in-memory platform.Table with injected faults.
+package memtable
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/basilloom/basilloom/internal/standin/fault"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// Table is the in-memory table. It is safe for concurrent use.
+type Table struct {
+	// Faults holds the faults in force.
+	Faults *fault.Injector
+
+	mu   sync.Mutex
+	rows map[platform.Key]platform.Row
+}
+
+// New returns an empty table.
+func New(faults fault.Settings) *Table {
+	return &Table{Faults: fault.New(faults), rows: map[platform.Key]platform.Row{}}
+}
+
+// Get returns the row.
+func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+	if err := t.Faults.Before(ctx, false); err != nil {
+		return platform.Row{}, unavailable(err)
+	}
+	row, found := t.load(key)
+	if err := t.Faults.Delay(ctx); err != nil {
+		return platform.Row{}, unavailable(err)
+	}
+	if !found {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// Put writes the row if its version equals expect.
+func (t *Table) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+	if err := t.Faults.Before(ctx, true); err != nil {
+		return platform.Row{}, unavailable(err)
+	}
+	row := platform.Row{Key: key, Version: expect + 1, Value: slices.Clone(value)}
+	if !t.swap(key, expect, &row) {
+		return platform.Row{}, platform.ErrConflict
+	}
+	return row, t.answer(ctx)
+}
+
+// Delete removes the row if its version equals expect.
+func (t *Table) Delete(ctx context.Context, key platform.Key, expect int64) error {
+	if err := t.Faults.Before(ctx, true); err != nil {
+		return unavailable(err)
+	}
+	if expect == 0 || !t.swap(key, expect, nil) {
+		return platform.ErrConflict
+	}
+	return t.answer(ctx)
+}
+
+// List returns the rows of the partition by sort key.
+func (t *Table) List(ctx context.Context, partition string) ([]platform.Row, error) {
+	if err := t.Faults.Before(ctx, false); err != nil {
+		return nil, unavailable(err)
+	}
+	rows := t.partition(partition)
+	if err := t.Faults.Delay(ctx); err != nil {
+		return nil, unavailable(err)
+	}
+	return rows, nil
+}
+
+func (t *Table) load(key platform.Key) (platform.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, found := t.rows[key]
+	row.Value = slices.Clone(row.Value)
+	return row, found
+}
+
+func (t *Table) swap(key platform.Key, expect int64, row *platform.Row) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows[key].Version != expect {
+		return false
+	}
+	if row == nil {
+		delete(t.rows, key)
+	} else {
+		t.rows[key] = *row
+	}
+	return true
+}
+
+func (t *Table) partition(partition string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if key.Partition == partition {
+			row.Value = slices.Clone(row.Value)
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	return rows
+}
+
+// answer returns ErrUnknown if the answer of a write that took effect is lost.
+func (t *Table) answer(ctx context.Context) error {
+	if t.Faults.LoseAnswer() {
+		return fmt.Errorf("%w: injected", platform.ErrUnknown)
+	}
+	if err := t.Faults.Delay(ctx); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	return nil
+}
+
+func unavailable(err error) error {
+	return errors.Join(platform.ErrUnavailable, err)
+}
--- /dev/null
+++ b/internal/standin/objects/objects.go
@@ -0,0 +1,117 @@
+// Package objects is a stand-in of the platform's object store. It answers
+// GetObject and PutObject of the S3 protocol with path-style addresses.
+package objects
+
+import (
+	"encoding/xml"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/basilloom/basilloom/internal/standin/fault"
+)
+
+// maxObjectBytes bounds an object.
+const maxObjectBytes = 16 << 20
+
+// Server is the stand-in.
+type Server struct {
+	// Faults holds the faults in force.
+	Faults *fault.Injector
+
+	bucket  string
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// New returns a store with one empty bucket.
+func New(bucket string, faults fault.Settings) *Server {
+	s := &Server{
+		Faults:  fault.New(faults),
+		bucket:  bucket,
+		mux:     http.NewServeMux(),
+		objects: map[string][]byte{},
+	}
+	s.mux.Handle("POST /fault", s.Faults)
+	s.mux.HandleFunc("GET /{bucket}/{name...}", s.get)
+	s.mux.HandleFunc("PUT /{bucket}/{name...}", s.put)
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		fail(w, http.StatusNotImplemented, "NotImplemented", "the stand-in has no "+r.Method+" "+r.URL.Path)
+	})
+	return s
+}
+
+// ServeHTTP answers object operations and sets faults on /fault.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, false) {
+		return
+	}
+	s.mu.Lock()
+	data, found := s.objects[r.PathValue("name")]
+	s.mu.Unlock()
+	if !found {
+		fail(w, http.StatusNotFound, "NoSuchKey", "The specified key does not exist.")
+		return
+	}
+	s.finish(r)
+	_, _ = w.Write(data)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, true) {
+		return
+	}
+	if r.Header.Get("Content-Encoding") != "" {
+		fail(w, http.StatusNotImplemented, "NotImplemented", "the stand-in has no content encodings")
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes+1))
+	if err != nil || len(data) > maxObjectBytes {
+		fail(w, http.StatusBadRequest, "EntityTooLarge", "the body is incomplete or too large")
+		return
+	}
+	s.mu.Lock()
+	s.objects[r.PathValue("name")] = data
+	s.mu.Unlock()
+	if s.Faults.LoseAnswer() {
+		// Closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	s.finish(r)
+}
+
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, write bool) bool {
+	if err := s.Faults.Before(r.Context(), write); err != nil {
+		fail(w, http.StatusServiceUnavailable, "SlowDown", err.Error())
+		return false
+	}
+	if r.PathValue("bucket") != s.bucket {
+		fail(w, http.StatusNotFound, "NoSuchBucket", "The specified bucket does not exist.")
+		return false
+	}
+	return true
+}
+
+// finish applies the second half of the latency.
+func (s *Server) finish(r *http.Request) {
+	if err := s.Faults.Delay(r.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+type errorBody struct {
+	XMLName xml.Name `xml:"Error"`
+	Code    string
+	Message string
+}
+
+func fail(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", "application/xml")
+	w.WriteHeader(status)
+	_ = xml.NewEncoder(w).Encode(errorBody{Code: code, Message: message})
+}
