Tests of the ticket streams under a change of the broker

Cause: a broker may die or lose its group while tickets wait and grants run. Ruled out: keeping tickets at the broker across its death, because instances keep nothing; the entry sends them again. Conclusion: the successor counts re-sent running grants against the limit.

--- /dev/null
+++ b/broker/broker_test.go
@@ -0,0 +1,194 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// fakeFleet holds the managers of several instances and says which one owns
+// the group. It implements Resolver, Source, Reports and Opener.
+type fakeFleet struct {
+	mu       sync.Mutex
+	owner    string
+	managers map[string]*Manager
+	cancels  map[string]context.CancelFunc
+}
+
+var testKey = GroupKey{Pool: "models"}
+
+func newFakeFleet(ctx context.Context, names ...string) *fakeFleet {
+	f := &fakeFleet{owner: names[0], managers: map[string]*Manager{}, cancels: map[string]context.CancelFunc{}}
+	for _, name := range names {
+		managerCtx, cancel := context.WithCancel(ctx)
+		f.managers[name] = NewManager(managerCtx, name, f, f, f, zap.NewNop())
+		f.cancels[name] = cancel
+	}
+	return f
+}
+
+func (f *fakeFleet) setOwner(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = name
+}
+
+func (f *fakeFleet) Owner(GroupKey) (Peer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Peer{Name: f.owner}, f.owner != ""
+}
+
+func (f *fakeFleet) Group(GroupKey) (GroupSettings, bool) {
+	return GroupSettings{
+		Config:  scheduler.GroupConfig{Pool: testKey.Pool},
+		Targets: []scheduler.Target{{Name: "t", Concurrency: 1, Service: true}},
+	}, true
+}
+
+func (f *fakeFleet) Weight(string) float64 { return 1 }
+
+func (f *fakeFleet) Load(context.Context, PollTarget) (scheduler.LoadReport, error) {
+	return scheduler.LoadReport{}, errors.New("no report")
+}
+
+func (f *fakeFleet) CacheEvents(context.Context, PollTarget, int64) ([]scheduler.CacheEvent, error) {
+	return nil, errors.New("no events")
+}
+
+// Open opens a stream that names the sender with its first message.
+func (f *fakeFleet) Open(_ context.Context, peer Peer) (Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &lazyStream{manager: f.managers[peer.Name], joined: make(chan struct{})}, nil
+}
+
+// lazyStream joins with the hello of its first message, as the server does.
+type lazyStream struct {
+	manager *Manager
+	session *Session
+	joined  chan struct{}
+}
+
+func (s *lazyStream) Send(m *pb.TicketsRequest) error {
+	if s.session == nil {
+		session, err := s.manager.Join(m.GetHello())
+		if err != nil {
+			return err
+		}
+		s.session = session
+		close(s.joined)
+	}
+	return s.session.Send(m)
+}
+
+func (s *lazyStream) Receive() (*pb.TicketsResponse, error) {
+	<-s.joined
+	return s.session.Receive()
+}
+
+func (s *lazyStream) Close() error {
+	if s.session == nil {
+		return nil
+	}
+	return s.session.Close()
+}
+
+func newTestClient(ctx context.Context, f *fakeFleet) *Client {
+	return NewClient(ctx, ClientSettings{Self: "entry", Incarnation: 1, Resolver: f, Opener: f, Log: zap.NewNop()})
+}
+
+func submit(c *Client, wait time.Duration) *Call {
+	return c.Submit(testKey, &pb.Ticket{Workspace: "w"}, time.Now().Add(wait))
+}
+
+// run starts a test in a bubble with its own clock.
+func run(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		test(t, ctx)
+	})
+}
+
+// Guards against a request that is lost with a broker that dies, and against a
+// successor that does not know of the grants in use and exceeds the target's limit.
+func TestSuccessorGetsWaitingAndRunningTickets(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a", "b")
+		c := newTestClient(ctx, f)
+		first, second := submit(c, time.Minute), submit(c, time.Minute)
+		grant, err := first.Wait(ctx)
+		require.NoError(t, err)
+		require.Equal(t, "t", grant.Target)
+		first.Dispatched()
+
+		f.setOwner("b")
+		f.cancels["a"]()
+		time.Sleep(time.Second)
+		require.Empty(t, second.decided, "the successor must count the grant in use")
+
+		first.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+		_, err = second.Wait(ctx)
+		require.NoError(t, err)
+		second.Dispatched()
+		second.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+	})
+}
+
+// Guards against a slot that stays taken by a caller that has gone away.
+func TestWithdrawnTicketFreesItsPlace(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		c := newTestClient(ctx, f)
+		first, second, third := submit(c, time.Minute), submit(c, time.Minute), submit(c, time.Minute)
+		_, err := first.Wait(ctx)
+		require.NoError(t, err)
+		first.Dispatched()
+		gone, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = second.Wait(gone)
+		require.ErrorIs(t, err, context.Canceled)
+		first.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+		_, err = third.Wait(ctx)
+		require.NoError(t, err)
+		third.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+	})
+}
+
+// Guards against a caller that waits for ever while no broker can be reached.
+func TestTicketWithoutBrokerIsRefused(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		f.setOwner("")
+		c := newTestClient(ctx, f)
+		begun := time.Now()
+		_, err := submit(c, time.Second).Wait(ctx)
+		var refused *RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, scheduler.ReasonNoTarget, refused.Reason)
+		require.Less(t, time.Since(begun), 2*time.Second)
+	})
+}
+
+// Guards against two brokers that both hold a group after the owner changed:
+// an instance that is not the owner must send the entry away.
+func TestOtherInstanceIsNotBroker(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a", "b")
+		_, err := f.managers["b"].Join(&pb.Hello{Instance: "entry", Pool: testKey.Pool})
+		var notOwner *NotOwnerError
+		require.ErrorAs(t, err, &notOwner)
+		require.Equal(t, "a", notOwner.Owner)
+	})
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,6 +29,10 @@
 	Service serviceCommand `cmd:"" help:"Run a plain service."`
 	Link    linkCommand    `cmd:"" help:"Run a link between two sides."`
 	Weights weightsCommand `cmd:"" help:"Run a weight store that engines of several processes share."`
+
+	Table     tableCommand     `cmd:"" help:"Run a table service (DynamoDB protocol)."`
+	Objects   objectsCommand   `cmd:"" help:"Run an object store (S3 protocol)."`
+	Instances instancesCommand `cmd:"" help:"Run the platform's list of instances."`
 }
 
 type listenFlags struct {
