Entry: admission, grants, dispatch and delivery of whole answers

Cause: a caller needs one process that keeps its request, asks for a grant, dispatches once and delivers only its own whole answer. Ruled out: reporting the outcome of a streamed answer in the header, because it is not known when the stream begins; it is a trailer, and a stream that cannot be completed ends with an error event and a broken connection. Conclusion: outcomes are values of one type, written in one place.

--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/basilloom/basilloom/config"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// Defaults of the limits and times that a configuration may leave unset.
+const (
+	DefaultMaxBodyBytes       = 8 << 20
+	DefaultMaxPromptTokens    = 256 << 10
+	DefaultFirstTokenDeadline = 10 * time.Second
+	DefaultResponseTimeout    = 5 * time.Minute
+)
+
+const (
+	chatPath          = "/v1/chat/completions"
+	idempotencyKey    = "Idempotency-Key"
+	maxIdempotencyKey = 255
+)
+
+func newRequestID() string {
+	var raw [12]byte
+	_, _ = rand.Read(raw[:]) // never fails (crypto/rand)
+	return "req-" + hex.EncodeToString(raw[:])
+}
+
+// admit turns a call into a request, or refuses it before anything else happens.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, id string) (*request, *Ending) {
+	snapshot := e.settings.Snapshot()
+	if snapshot == nil {
+		return nil, refuse(http.StatusServiceUnavailable, ReasonNotReady, "this instance has no configuration yet")
+	}
+	workspace := authenticate(snapshot, r)
+	if workspace == nil {
+		return nil, refuse(http.StatusUnauthorized, ReasonUnauthorized, "unknown bearer token")
+	}
+	if wait, ok := e.limits.allow(workspace, e.settings.FleetSize()); !ok {
+		ending := refuse(http.StatusTooManyRequests, ReasonRateLimit,
+			"workspace %q exceeds %g requests per second", workspace.GetName(), workspace.GetRequestsPerSecond())
+		ending.RetryAfter = wait
+		return nil, ending
+	}
+	body, ending := readBody(w, r, snapshot)
+	if ending != nil {
+		return nil, ending
+	}
+	req := &request{id: id, arrived: time.Now(), workspace: workspace, body: body}
+	if r.URL.Path == chatPath {
+		return req, e.admitChat(snapshot, r, req)
+	}
+	return req, e.admitService(snapshot, r, req)
+}
+
+func authenticate(snapshot *config.Snapshot, r *http.Request) *pb.Workspace {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil
+	}
+	return snapshot.WorkspaceByToken(sha256.Sum256([]byte(token)))
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, snapshot *config.Snapshot) ([]byte, *Ending) {
+	limit := snapshot.Config().GetLimits().GetMaxBodyBytes()
+	if limit == 0 {
+		limit = DefaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, "the body exceeds %d bytes", limit)
+	}
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, ReasonMalformed, "the body could not be read")
+	}
+	return body, nil
+}
+
+func (e *Entry) admitChat(snapshot *config.Snapshot, r *http.Request, req *request) *Ending {
+	if r.Method != http.MethodPost {
+		return refuse(http.StatusMethodNotAllowed, ReasonMalformed, "chat completions need POST")
+	}
+	var fields chatFields
+	if err := json.Unmarshal(req.body, &fields); err != nil {
+		return refuse(http.StatusBadRequest, ReasonMalformed, "the body is not a chat completions call: %v", err)
+	}
+	if len(fields.Messages) == 0 || fields.MaxTokens < 0 {
+		return refuse(http.StatusBadRequest, ReasonMalformed, "messages must not be empty and max_tokens not negative")
+	}
+	route := snapshot.RouteForModel(fields.Model)
+	if ending := e.bindRoute(snapshot, req, route); ending != nil {
+		return ending
+	}
+	prompt := fields.prompt()
+	req.chat = newChatCall(&fields, prompt, route.GetExpectedOutputTokens())
+	req.fingerprint = fingerprint(req.workspace.GetName(), route.GetName(), chatPath, req.body)
+	return checkPrompt(snapshot, req.chat)
+}
+
+func checkPrompt(snapshot *config.Snapshot, chat *chatCall) *Ending {
+	limit := int(snapshot.Config().GetLimits().GetMaxPromptTokens())
+	if limit == 0 {
+		limit = DefaultMaxPromptTokens
+	}
+	if chat.promptTokens > limit {
+		return refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge,
+			"the prompt has about %d tokens, the limit is %d", chat.promptTokens, limit)
+	}
+	return nil
+}
+
+func (e *Entry) admitService(snapshot *config.Snapshot, r *http.Request, req *request) *Ending {
+	route := snapshot.RouteForPath(r.URL.Path)
+	if ending := e.bindRoute(snapshot, req, route); ending != nil {
+		return ending
+	}
+	req.method, req.path, req.header = r.Method, r.URL.RequestURI(), r.Header
+	req.fingerprint = fingerprint(req.workspace.GetName(), route.GetName(), r.Method+" "+req.path, req.body)
+	if !route.GetNonIdempotent() {
+		return nil
+	}
+	req.key = r.Header.Get(idempotencyKey)
+	if req.key == "" || len(req.key) > maxIdempotencyKey {
+		return refuse(http.StatusBadRequest, ReasonKeyMissing,
+			"route %q needs an %s header of at most %d bytes", route.GetName(), idempotencyKey, maxIdempotencyKey)
+	}
+	return nil
+}
+
+func (e *Entry) bindRoute(snapshot *config.Snapshot, req *request, route *pb.Route) *Ending {
+	if route == nil {
+		return refuse(http.StatusNotFound, ReasonUnknownRoute, "no route serves this model or path")
+	}
+	if !snapshot.Allowed(route, req.workspace) {
+		return refuse(http.StatusForbidden, ReasonForbidden,
+			"workspace %q may not use route %q", req.workspace.GetName(), route.GetName())
+	}
+	req.route = route
+	req.tier = snapshot.TierOf(route, req.workspace)
+	req.shards = snapshot.Pool(route.GetPool()).GetShards()
+	wait := DefaultFirstTokenDeadline
+	if d := req.tier.GetFirstTokenDeadline(); d != nil {
+		wait = d.AsDuration()
+	}
+	req.deadline = req.arrived.Add(wait)
+	return nil
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/basilloom/basilloom/broker"
+	"github.com/basilloom/basilloom/engine"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+const tracerName = "github.com/basilloom/basilloom/entry"
+
+// aliveTimeout bounds the check whether a target with a broken connection still runs.
+const aliveTimeout = time.Second
+
+var errPreempted = errors.New("cancelled in favour of a higher tier")
+
+// claim guards the dispatch of a non-idempotent call.
+type claim interface {
+	// begin is called immediately before the dispatch; an Ending forbids it.
+	begin(ctx context.Context) *Ending
+}
+
+type noClaim struct{}
+
+func (noClaim) begin(context.Context) *Ending { return nil }
+
+// serveOnce gets a grant and dispatches the request. It tries again only while
+// no byte of the request has been written to a target.
+func (e *Entry) serveOnce(ctx context.Context, out *responder, req *request, guard claim) *Ending {
+	for {
+		run, ending := e.acquire(ctx, req)
+		if ending != nil {
+			return ending
+		}
+		if run != nil {
+			ending, again := e.dispatch(ctx, out, run, guard)
+			if !again {
+				return ending
+			}
+		}
+		if !e.retries.withdraw() {
+			return refuse(http.StatusServiceUnavailable, ReasonRetryBudget, "no target could be reached")
+		}
+	}
+}
+
+// run is one use of a grant.
+type run struct {
+	req        *request
+	call       *broker.Call
+	target     engine.Target
+	started    time.Time
+	firstToken time.Duration
+	tokens     int
+	usage      engine.Usage
+}
+
+// acquire waits for a grant. It returns nil and no ending if the grant can no
+// longer be used and the request should wait again.
+func (e *Entry) acquire(ctx context.Context, req *request) (*run, *Ending) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "wait for grant")
+	defer span.End()
+	req.version = e.settings.Versions.Choose(req.route, req.id)
+	key := broker.GroupKey{Pool: req.route.GetPool(), Shard: req.shard()}
+	call := e.settings.Tickets.Submit(key, req.ticket(traceparent(ctx)), req.deadline)
+	grant, err := call.Wait(ctx)
+	var refused *broker.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return nil, refusedBy(refused.Reason, time.Duration(refused.RetryAfter)*time.Millisecond)
+	case err != nil:
+		return nil, callerGone(NotRun)
+	}
+	target, ok := e.usable(req, grant)
+	if !ok {
+		call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
+		return nil, nil
+	}
+	span.SetAttributes(attribute.String("basilloom.target", target.Name))
+	return &run{req: req, call: call, target: target}, nil
+}
+
+// usable checks a grant against what this instance knows now: the grant may
+// have been made before the target left or its version was stopped.
+func (e *Entry) usable(req *request, grant broker.Grant) (engine.Target, bool) {
+	target := e.settings.Snapshot().Target(grant.Target)
+	if target == nil || target.GetLeaving() || e.settings.Targets.Leaving(grant.Target) {
+		req.avoid = append(req.avoid, grant.Target)
+		return engine.Target{}, false
+	}
+	if time.Now().After(grant.Expires) || !e.settings.Versions.Allowed(req.route, req.version) {
+		return engine.Target{}, false
+	}
+	return engine.Target{Name: target.GetName(), Address: target.GetAddress()}, true
+}
+
+// dispatch sends the request to the granted target. again is true if it
+// certainly did not run and may be granted again.
+func (e *Entry) dispatch(ctx context.Context, out *responder, r *run, guard claim) (ending *Ending, again bool) {
+	if ending := guard.begin(ctx); ending != nil {
+		r.call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
+		return ending, false
+	}
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("basilloom.target", r.target.Name)))
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, responseTimeout(r.req.route))
+	defer cancel()
+	ctx, preempt := context.WithCancelCause(ctx)
+	defer preempt(nil)
+	go watchPreemption(ctx, r.call, preempt)
+	r.call.Dispatched()
+	r.started = time.Now()
+	err := e.relay(ctx, out, r)
+	return e.settle(ctx, r, err)
+}
+
+func watchPreemption(ctx context.Context, call *broker.Call, preempt context.CancelCauseFunc) {
+	select {
+	case <-call.Cancelled():
+		preempt(errPreempted)
+	case <-ctx.Done():
+	}
+}
+
+func (e *Entry) relay(ctx context.Context, out *responder, r *run) error {
+	if r.req.chat != nil {
+		return e.relayChat(ctx, out, r)
+	}
+	return e.relayService(ctx, out, r)
+}
+
+// settle reports the end of a run to the broker and the evidence of its version.
+func (e *Entry) settle(ctx context.Context, r *run, err error) (ending *Ending, again bool) {
+	var dispatchErr *engine.DispatchError
+	if errors.As(err, &dispatchErr) && dispatchErr.SafeToRetry() {
+		r.call.Complete(r.completion(pb.Result_RESULT_NOT_DISPATCHED))
+		if context.Cause(ctx) != nil {
+			return callerGone(NotRun), false
+		}
+		r.req.avoid = append(r.req.avoid, r.target.Name)
+		return nil, true
+	}
+	result, ending := classify(ctx, err)
+	if result == pb.Result_RESULT_TARGET_DIED {
+		e.completeBroken(r)
+	} else {
+		r.call.Complete(r.completion(result))
+	}
+	if result != pb.Result_RESULT_CANCELLED {
+		e.settings.Versions.Observe(r.sample(err != nil))
+	}
+	return ending, false
+}
+
+// classify maps the end of a dispatched request. Result_TARGET_DIED is a
+// suspicion that completeBroken checks.
+func classify(ctx context.Context, err error) (pb.Result, *Ending) {
+	var answerErr *engine.AnswerError
+	var dispatchErr *engine.DispatchError
+	switch {
+	case err == nil:
+		return pb.Result_RESULT_SERVED, nil
+	case errors.Is(context.Cause(ctx), errPreempted):
+		return pb.Result_RESULT_CANCELLED, fail(http.StatusServiceUnavailable, ReasonPreempted, "%v", errPreempted)
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return pb.Result_RESULT_FAILED, fail(http.StatusGatewayTimeout, ReasonTimeout, "the target did not answer in time")
+	case context.Cause(ctx) != nil || errors.Is(err, errCallerWrite):
+		return pb.Result_RESULT_CANCELLED, callerGone(Failed)
+	case errors.As(err, &answerErr):
+		return classifyAnswer(answerErr)
+	case errors.As(err, &dispatchErr) && dispatchErr.Broken:
+		return pb.Result_RESULT_TARGET_DIED, fail(http.StatusBadGateway, ReasonTargetBroken, "the connection to the target broke")
+	default:
+		return pb.Result_RESULT_FAILED, fail(http.StatusBadGateway, ReasonTargetError, "the target failed")
+	}
+}
+
+func classifyAnswer(err *engine.AnswerError) (pb.Result, *Ending) {
+	if err.Broken {
+		return pb.Result_RESULT_TARGET_DIED, fail(http.StatusBadGateway, ReasonTargetBroken, "the connection to the target broke")
+	}
+	reason := ReasonTargetError
+	switch err.Kind {
+	case engine.AnswerCrossed:
+		reason = ReasonCrossed
+	case engine.AnswerTruncated:
+		reason = ReasonTruncated
+	}
+	return pb.Result_RESULT_FAILED, fail(http.StatusBadGateway, reason, "%v", err)
+}
+
+// completeBroken completes a run whose connection broke, once it is known
+// whether the target still runs. The caller does not wait for that.
+func (e *Entry) completeBroken(r *run) {
+	e.inFlight.Add(1)
+	go func() {
+		defer e.inFlight.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
+		defer cancel()
+		result := pb.Result_RESULT_TARGET_DIED
+		if e.settings.Engine.Alive(ctx, r.target) {
+			result = pb.Result_RESULT_FAILED
+		}
+		r.call.Complete(r.completion(result))
+	}()
+}
+
+func (r *run) completion(result pb.Result) *pb.Completion {
+	c := &pb.Completion{
+		Result:       result,
+		OutputTokens: int32(max(r.tokens, r.usage.CompletionTokens)),
+		FirstTokenMs: r.firstToken.Milliseconds(),
+		TotalMs:      time.Since(r.started).Milliseconds(),
+		CachedTokens: int32(r.usage.PromptDetails.CachedTokens),
+		PromptTokens: int32(r.usage.PromptTokens),
+	}
+	if r.req.chat != nil && c.PromptTokens == 0 {
+		c.PromptTokens = int32(r.req.chat.promptTokens)
+	}
+	return c
+}
+
+func (r *run) sample(failed bool) Sample {
+	s := Sample{Route: r.req.route.GetName(), Version: r.req.version, Failed: failed, FirstToken: r.firstToken}
+	if r.tokens > 1 {
+		s.Intervals = r.tokens - 1
+		s.TokenInterval = (time.Since(r.started) - r.firstToken) / time.Duration(s.Intervals)
+	}
+	return s
+}
+
+func responseTimeout(route *pb.Route) time.Duration {
+	if d := route.GetResponseTimeout(); d != nil {
+		return d.AsDuration()
+	}
+	return DefaultResponseTimeout
+}
+
+// traceparent returns the trace context of a sampled request.
+func traceparent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/basilloom/basilloom/engine"
+)
+
+const (
+	// maxHeldAnswer bounds the answers of plain services that are read whole
+	// before the caller gets them.
+	maxHeldAnswer = 256 << 10
+	cancelTimeout = 2 * time.Second
+)
+
+var errCallerWrite = errors.New("writing to the caller failed")
+
+func (e *Entry) relayChat(ctx context.Context, out *responder, r *run) error {
+	header := make(http.Header)
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	answer, err := e.settings.Engine.Chat(ctx, r.target, engine.ChatRequest{
+		ID:      r.req.id,
+		Version: r.req.version,
+		Header:  header,
+		Body:    r.req.body,
+		Stream:  r.req.chat.stream,
+	})
+	if err != nil {
+		return err
+	}
+	defer answer.Close()
+	if r.req.chat.stream {
+		err = r.relayEvents(ctx, out, answer)
+	} else {
+		err = r.relayWhole(out, answer)
+	}
+	if err != nil && answer.StreamID() != "" {
+		e.cancelStream(r.target, answer.StreamID())
+	}
+	return err
+}
+
+func (r *run) relayEvents(ctx context.Context, out *responder, answer *engine.Answer) error {
+	usage, err := answer.Events(ctx, func(event engine.Event) error {
+		if event.Token {
+			if r.tokens == 0 {
+				r.firstToken = time.Since(r.started)
+			}
+			r.tokens++
+		}
+		if err := out.event(event); err != nil {
+			return errCallerWrite
+		}
+		return nil
+	})
+	r.usage = usage
+	return err
+}
+
+func (r *run) relayWhole(out *responder, answer *engine.Answer) error {
+	data, usage, err := answer.Whole()
+	if err != nil {
+		return err
+	}
+	r.usage = usage
+	r.firstToken = time.Since(r.started)
+	out.tokens = usage.CompletionTokens
+	out.whole(http.StatusOK, jsonHeader(), data)
+	return nil
+}
+
+// cancelStream frees the engine's batch slot of an answer that nobody reads.
+func (e *Entry) cancelStream(target engine.Target, stream string) {
+	e.inFlight.Add(1)
+	go func() {
+		defer e.inFlight.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = e.settings.Engine.Cancel(ctx, target, stream) // the engine drops unread streams by itself after a while
+	}()
+}
+
+func (e *Entry) relayService(ctx context.Context, out *responder, r *run) error {
+	header := r.req.header.Clone()
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	resp, err := e.settings.Engine.Call(ctx, r.target, engine.ServiceRequest{
+		ID:     r.req.id,
+		Method: r.req.method,
+		Path:   r.req.path,
+		Header: header,
+		Body:   r.req.body,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.firstToken = time.Since(r.started)
+	return relayBody(out, resp)
+}
+
+// relayBody delivers a small answer as one piece and copies a large one. An
+// error status of a plain service is its answer and passed on.
+func relayBody(out *responder, resp *http.Response) error {
+	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
+	if err != nil {
+		return bodyError(err)
+	}
+	header := engine.CopyHeader(resp.Header)
+	if len(held) < maxHeldAnswer {
+		out.whole(resp.StatusCode, header, held)
+		return nil
+	}
+	header.Del("Content-Length")
+	out.beginCopy(resp.StatusCode, header)
+	if _, err := io.Copy(out.w, bytes.NewReader(held)); err != nil {
+		return errCallerWrite
+	}
+	return copyRest(out, resp.Body)
+}
+
+func copyRest(out *responder, body io.Reader) error {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := out.w.Write(buffer[:n]); werr != nil {
+				return errCallerWrite
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return bodyError(err)
+		}
+	}
+}
+
+func bodyError(err error) error {
+	if isContextError(err) {
+		return err
+	}
+	return &engine.AnswerError{Kind: engine.AnswerTruncated, Detail: err.Error(), Broken: true}
+}
--- /dev/null
+++ b/test/e2e/fleet_test.go
@@ -0,0 +1,165 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilloom/basilloom/platform"
+)
+
+// instance is a running basilloomd.
+type instance struct {
+	*process
+	name      string
+	callers   string
+	peers     string
+	operators string
+}
+
+// fleet is a set of instances with the stand-ins of the platform.
+type fleet struct {
+	table     *standin
+	objects   *standin
+	list      *standin
+	instances []*instance
+}
+
+func startFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{
+		table:   startStandin(t, "table"),
+		objects: startStandin(t, "objects"),
+		list:    startStandin(t, "instances", "--lag=200ms"),
+	}
+	for i := range size {
+		f.start(t, fmt.Sprintf("i%d", i+1))
+	}
+	f.publishList(t)
+	return f
+}
+
+func (f *fleet) start(t *testing.T, name string) *instance {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(programs, "basilloomd"),
+		"--instance="+name, "--region=west", "--zone=west-a",
+		"--callers=127.0.0.1:0", "--peers=127.0.0.1:0", "--operators=127.0.0.1:0")
+	cmd.Env = append(os.Environ(),
+		"BASILLOOM_PEER_KEY="+peerKey,
+		"BASILLOOM_TABLE_ENDPOINT="+f.table.url(""),
+		"BASILLOOM_OBJECTS_ENDPOINT="+f.objects.url(""),
+		"BASILLOOM_INSTANCES_URL="+f.list.url("/instances"))
+	p, lines := startProcess(t, name, cmd, (*exec.Cmd).StderrPipe)
+	i := &instance{process: p, name: name}
+	deadline := time.After(startTimeout)
+	for i.callers == "" {
+		select {
+		case line := <-lines:
+			i.readAddresses(line)
+		case <-p.done:
+			require.FailNow(t, "instance exited at start", name)
+		case <-deadline:
+			require.FailNow(t, "instance did not start", name)
+		}
+	}
+	f.instances = append(f.instances, i)
+	return i
+}
+
+func (i *instance) readAddresses(line string) {
+	var started struct{ Msg, Callers, Peers, Operators string }
+	if json.Unmarshal([]byte(line), &started) == nil && started.Msg == "instance started" {
+		i.callers, i.peers, i.operators = started.Callers, started.Peers, started.Operators
+	}
+}
+
+// publishList gives the platform's list the running instances.
+func (f *fleet) publishList(t *testing.T) {
+	t.Helper()
+	var records []platform.InstanceRecord
+	for _, i := range f.instances {
+		select {
+		case <-i.done:
+			continue
+		default:
+		}
+		records = append(records, platform.InstanceRecord{Name: i.name, Address: i.peers, Region: "west", Zone: "west-a"})
+	}
+	data, err := json.Marshal(records)
+	require.NoError(t, err)
+	send(t, http.MethodPut, f.list.url("/instances"), string(data))
+}
+
+func (i *instance) ready() bool {
+	resp, err := http.Get("http://" + i.operators + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// apply writes the files to a folder and applies it by the command line.
+func (f *fleet) apply(t *testing.T, files map[string]string) {
+	t.Helper()
+	dir := t.TempDir()
+	for name, content := range files {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600))
+	}
+	out, err := f.basilloom("config", "apply", dir)
+	require.NoError(t, err, "%s", out)
+}
+
+// basilloom runs the operators' command line against the first instance.
+func (f *fleet) basilloom(args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(programs, "basilloom"), args...)
+	cmd.Env = append(os.Environ(), "BASILLOOM_SERVER=http://"+f.instances[0].operators)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func (f *fleet) waitReady(t *testing.T) {
+	t.Helper()
+	for _, i := range f.instances {
+		require.Eventually(t, i.ready, startTimeout, 20*time.Millisecond, "instance %s", i.name)
+	}
+}
+
+const callerToken = "e2e-token"
+
+// baseConfig is a configuration with one model pool and one service pool.
+func baseConfig(engines, services []*standin) map[string]string {
+	sum := sha256.Sum256([]byte(callerToken))
+	var targets strings.Builder
+	targets.WriteString("targets:\n")
+	for i, e := range engines {
+		fmt.Fprintf(&targets, "- {name: engine-%d, pool: models, region: west, zone: west-a, address: %q, versions: [v1], concurrency: 8, "+
+			"prefillTokensPerSecond: 8000, decodeTokensPerSecond: 60, checksFencing: true}\n", i+1, e.url(""))
+	}
+	for i, s := range services {
+		fmt.Fprintf(&targets, "- {name: service-%d, pool: orders, region: west, zone: west-a, address: %q, concurrency: 8}\n", i+1, s.url(""))
+	}
+	return map[string]string{
+		"10-regions.yaml": "regions:\n- {name: west, zones: [west-a]}\n",
+		"20-tiers.yaml": "tiers:\n- {name: top, rank: 0, firstTokenDeadline: 5s, tokenInterval: 0.032s}\n" +
+			"- {name: low, rank: 1, firstTokenDeadline: 10s, tokenInterval: 0.1s}\n",
+		"30-workspaces.yaml": "workspaces:\n- {name: app, tokenSha256: " + hex.EncodeToString(sum[:]) + "}\n",
+		"40-pools.yaml": "pools:\n- {name: models, kind: POOL_KIND_ENGINE}\n" +
+			"- {name: orders, kind: POOL_KIND_SERVICE}\n",
+		"50-targets.yaml": targets.String(),
+		"60-routes.yaml": "routes:\n- {name: plans, model: plans, pool: models, tier: top, version: v1}\n" +
+			"- {name: tags, model: tags, pool: models, tier: low, version: v1, cancellable: true}\n" +
+			"- {name: status, pathPrefix: /orders/status, pool: orders, tier: low}\n" +
+			"- {name: dispatch, pathPrefix: /orders/dispatch, pool: orders, tier: top, nonIdempotent: true}\n",
+	}
+}
