--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -65,6 +65,10 @@
 	return nil, errors.New("no events")
 }
 
+func (f *fakeFleet) Versions(context.Context, PollTarget) ([]string, error) {
+	return nil, errors.New("no versions")
+}
+
 // Open opens a stream that names the sender with its first message.
 func (f *fakeFleet) Open(_ context.Context, peer Peer) (Stream, error) {
 	f.mu.Lock()
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -101,6 +101,7 @@
 		group:    scheduler.NewGroup(settings.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		events:   make(chan event, eventQueue),
 		sessions: make(map[entryKey]*Session),
+		versions: make(map[string][]string),
 		weight:   m.source.Weight,
 		log:      m.log.With(zap.Stringer("group", key)),
 		done:     make(chan struct{}),
--- a/broker/poll.go
+++ b/broker/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,11 @@
 const (
 	loadPeriod  = 500 * time.Millisecond
 	cacheRounds = 2 // cache events are asked for in every second round
-	maxPolls    = 16
+	// versionRounds: a version that has been loaded is used within 2 s.
+	versionRounds = 4
+	maxPolls      = 16
+	// pollTimeout keeps one frozen target from delaying the reports of the others.
+	pollTimeout = loadPeriod
 )
 
 // PollTarget is a target whose reports are asked for.
@@ -25,6 +30,8 @@
 type Reports interface {
 	Load(ctx context.Context, target PollTarget) (scheduler.LoadReport, error)
 	CacheEvents(ctx context.Context, target PollTarget, after int64) ([]scheduler.CacheEvent, error)
+	// Versions returns the versions that the target has loaded.
+	Versions(ctx context.Context, target PollTarget) ([]string, error)
 }
 
 // poller feeds a group with the reports of its targets.
@@ -42,12 +49,14 @@
 			return
 		case <-ticker.C:
 		}
-		p.poll(ctx, r, targets(), last, round%cacheRounds == 0)
+		p.poll(ctx, r, targets(), last, round)
 	}
 }
 
 // poll asks all targets once, maxPolls of them at a time.
-func (p *poller) poll(ctx context.Context, r *runner, targets []PollTarget, last *sequences, withCache bool) {
+func (p *poller) poll(ctx context.Context, r *runner, targets []PollTarget, last *sequences, round int) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxPolls)
 	for _, target := range targets {
@@ -55,14 +64,31 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			p.pollLoad(ctx, r, target)
-			if withCache {
+			if round%cacheRounds == 0 {
 				p.pollCache(ctx, r, target, last)
 			}
+			if round%versionRounds == 0 {
+				p.pollVersions(ctx, r, target)
+			}
 		})
 	}
 	wg.Wait()
 }
 
+func (p *poller) pollVersions(ctx context.Context, r *runner, target PollTarget) {
+	versions, err := p.reports.Versions(ctx, target)
+	if err != nil {
+		return
+	}
+	_ = r.post(ctx, func(now time.Time) []scheduler.Decision {
+		if slices.Equal(r.versions[target.Name], versions) {
+			return nil
+		}
+		r.versions[target.Name] = versions
+		return r.group.SetTargets(now, r.withVersions())
+	})
+}
+
 func (p *poller) pollLoad(ctx context.Context, r *runner, target PollTarget) {
 	report, err := p.reports.Load(ctx, target)
 	if err != nil {
@@ -106,6 +132,21 @@
 	s.last[target] = sequence
 }
 
+// setTargets takes over the configured targets.
 func (r *runner) setTargets(targets []scheduler.Target) event {
-	return func(now time.Time) []scheduler.Decision { return r.group.SetTargets(now, targets) }
+	return func(now time.Time) []scheduler.Decision {
+		r.targets = targets
+		return r.group.SetTargets(now, r.withVersions())
+	}
+}
+
+// withVersions replaces the configured versions of targets by the loaded ones.
+func (r *runner) withVersions() []scheduler.Target {
+	targets := slices.Clone(r.targets)
+	for i := range targets {
+		if versions, ok := r.versions[targets[i].Name]; ok {
+			targets[i].Versions = versions
+		}
+	}
+	return targets
 }
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -29,6 +29,9 @@
 	group    *scheduler.Group
 	events   chan event
 	sessions map[entryKey]*Session
+	// targets are the configured ones; versions holds what they have loaded.
+	targets  []scheduler.Target
+	versions map[string][]string
 	weight   func(workspace string) float64
 	log      *zap.Logger
 	done     chan struct{}
