Test the stand-ins; reset connections before a crash is noticed

Cause: a fake that lies is worse than none, so each property that other tests rely on has a test of its own. The listener now closes first and handlers learn of the crash last. Ruled out: wall-clock bounds in engine tests; they run in simulated time (testing/synctest). Link tests check lower bounds only. Conclusion: engine, service, link and command are usable by other tests.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -104,10 +104,11 @@
 		return err
 	}
 	defer s.Close()
+	signals := notifySignals()
 	if err := out.ready(ready{Kind: "service", Address: s.Address()}); err != nil {
 		return err
 	}
-	waitForSignal()
+	<-signals
 	return nil
 }
 
@@ -145,9 +146,10 @@
 		return err
 	}
 	defer control.Abort()
+	signals := notifySignals()
 	if err := out.ready(ready{Kind: "link", Address: control.Address(), Forwards: addresses}); err != nil {
 		return err
 	}
-	waitForSignal()
+	<-signals
 	return nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -60,17 +60,20 @@
 		return err
 	}
 	defer server.Abort()
+	signals := notifySignals()
 	if err := out.ready(ready{Kind: kind, Address: server.Address()}); err != nil {
 		return err
 	}
-	waitForSignal()
+	<-signals
 	return nil
 }
 
-func waitForSignal() {
+// notifySignals is called before the ready line, as whoever reads that line may
+// end the process at once.
+func notifySignals() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	<-signals
+	return signals
 }
 
 // crash ends the process without closing anything, as a crash does.
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -54,6 +54,9 @@
 	}
 	s := e.newStream(requestID, r.Header.Get("X-Model-Version"), &request)
 	reader, failed := e.submit(s)
+	if failed == errCrashed {
+		panic(http.ErrAbortHandler)
+	}
 	if failed != nil {
 		writeFailure(w, failed)
 		return
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,8 @@
 	stopped  chan struct{}
 	closing  sync.Once
 
+	lifecycle sync.Mutex // held during a crash or restart; taken before mu
+
 	mu          sync.Mutex
 	rng         *rand.Rand
 	started     time.Time
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -74,8 +74,11 @@
 }
 
 // Crash loses all streams and the cache, aborts all connections, and aborts new
-// ones until Restart.
+// ones until Restart. Connections are reset before the handlers learn of it, so
+// that no client sees an orderly end.
 func (e *Engine) Crash() {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
 	e.mu.Lock()
 	if e.crashed {
 		e.mu.Unlock()
@@ -83,23 +86,26 @@
 	}
 	e.crashed = true
 	e.records.crashes++
-	e.loseAll()
-	e.orders.stopLoads()
-	close(e.crash)
 	e.mu.Unlock()
 	if e.settings.OnCrash != nil {
 		e.settings.OnCrash()
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loseAll()
+	e.orders.stopLoads()
+	close(e.crash)
 }
 
 // Restart ends a crash. Versions stay loaded; streams and cache are lost, and
 // the event sequence continues.
 func (e *Engine) Restart() error {
-	e.mu.Lock()
-	if !e.crashed {
-		e.mu.Unlock()
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if !e.isCrashed() {
 		return nil
 	}
+	e.mu.Lock()
 	e.crashed = false
 	e.reset()
 	e.addEvent(eventCleared, nil)
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -55,7 +55,8 @@
 	// KVBlockBytes is the size of one exported cache block.
 	KVBlockBytes int
 
-	// OnCrash is called after a crash, without locks held.
+	// OnCrash is called at a crash, to abort the connections. It must not call the
+	// engine.
 	OnCrash func()
 	// OnRestart is called by Restart before the engine answers again.
 	OnRestart func() error
--- /dev/null
+++ b/internal/standin/engine/stream_test.go
@@ -0,0 +1,227 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// longPrompt has the given number of full blocks; tag makes it unique from the start.
+func longPrompt(tag string, blocks int) string {
+	return strings.Repeat(tag+strings.Repeat("x", 256-len(tag)), blocks)
+}
+
+// disconnect starts a stream, and breaks the connection after a time.
+func disconnect(t *testing.T, e *Engine, id, prompt string, tokens int, after time.Duration) *timedWriter {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), after)
+	defer cancel()
+	w, aborted := chatStream(ctx, e, id, prompt, tokens)
+	require.True(t, aborted)
+	return w
+}
+
+func resume(t *testing.T, e *Engine, streamID string, after int) (*timedWriter, bool) {
+	t.Helper()
+	w := newTimedWriter()
+	aborted := call(t.Context(), e, w, "GET", "/v1/streams/"+streamID, "", "Last-Event-ID", strconv.Itoa(after))
+	return w, aborted
+}
+
+func get[T any](t *testing.T, e *Engine, path string) T {
+	t.Helper()
+	w := httptest.NewRecorder()
+	call(t.Context(), e, w, "GET", path, "")
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	var answer T
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	return answer
+}
+
+// Guards against a resume that repeats, skips or regenerates events, for every
+// place where the connection can break.
+func TestResumeGivesExactlyTheRest(t *testing.T) {
+	simulate(t, nil, func(t *testing.T, e *Engine) {
+		first := disconnect(t, e, "a", "hello", 40, 300*time.Millisecond)
+		numbers, head, done := first.events(t)
+		require.False(t, done)
+		require.NotEmpty(t, numbers)
+		streamID := first.header.Get("X-Stream-Id")
+		for after := range 42 {
+			rest, _ := resume(t, e, streamID, after)
+			restNumbers, tail, done := rest.events(t)
+			require.True(t, done)
+			require.Len(t, restNumbers, 41-after)
+			require.Equal(t, ExpectedContent("a", "hello", 40)[min(after, 40)*tokenBytes:], tail)
+			if after == len(numbers) {
+				require.Equal(t, ExpectedContent("a", "hello", 40), head+tail)
+			}
+		}
+		require.Equal(t, map[string]int{"a": 1}, e.Runs())
+		require.EqualValues(t, 40, e.Stats().GeneratedTokens)
+	})
+}
+
+// Guards against two handlers sending one stream at the same time.
+func TestResumeTakesOver(t *testing.T) {
+	simulate(t, nil, func(t *testing.T, e *Engine) {
+		var firstAborted bool
+		first := newTimedWriter()
+		go func() {
+			firstAborted = call(t.Context(), e, first, "POST", "/v1/chat/completions", chatBody("p", 40, true), "X-Request-Id", "a")
+		}()
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait() // orders the reads of first after the handler's writes
+		second, aborted := resume(t, e, first.header.Get("X-Stream-Id"), 0)
+		synctest.Wait()
+		require.True(t, firstAborted)
+		require.False(t, aborted)
+		_, content, _ := second.events(t)
+		require.Equal(t, ExpectedContent("a", "p", 40), content)
+	})
+}
+
+// Guards against streams that stay resumable, or keep running, for ever.
+func TestAbandonedStreamExpires(t *testing.T) {
+	simulate(t, func(s *Settings) { s.StreamRetention = time.Second }, func(t *testing.T, e *Engine) {
+		first := disconnect(t, e, "a", "hello", 1000, 300*time.Millisecond)
+		time.Sleep(1100 * time.Millisecond)
+		rest, _ := resume(t, e, first.header.Get("X-Stream-Id"), 0)
+		require.Equal(t, http.StatusNotFound, rest.status)
+		stats := e.Stats()
+		require.Positive(t, stats.WastedDecodeTokens)
+		require.Equal(t, stats.GeneratedTokens, stats.WastedDecodeTokens)
+		require.Zero(t, get[Load](t, e, "/v1/load").Running)
+	})
+}
+
+// Guards against cancel leaving work in the batch, and against a waiting request
+// that runs although its client is gone.
+func TestCancelAndWithdraw(t *testing.T) {
+	simulate(t, func(s *Settings) { s.BatchLimit = 1 }, func(t *testing.T, e *Engine) {
+		first := disconnect(t, e, "a", longPrompt("a", 2), 1000, 300*time.Millisecond)
+		waiting := disconnect(t, e, "b", "p", 10, 100*time.Millisecond)
+		require.Empty(t, waiting.header.Get("X-Stream-Id"))
+		require.Equal(t, 0, get[Load](t, e, "/v1/load").Waiting)
+
+		w := httptest.NewRecorder()
+		call(t.Context(), e, w, "DELETE", "/v1/streams/"+first.header.Get("X-Stream-Id"), "")
+		require.Equal(t, http.StatusNoContent, w.Code)
+		require.Zero(t, get[Load](t, e, "/v1/load").Running)
+		stats := e.Stats()
+		require.EqualValues(t, 128, stats.WastedPrefillTokens)
+		require.Equal(t, stats.GeneratedTokens, stats.WastedDecodeTokens)
+		_, aborted := chatStream(t.Context(), e, "c", "p", 5)
+		require.False(t, aborted)
+	})
+}
+
+// Guards against a cache that is reported but saves no prefill, and against hits
+// on a prompt that differs from its start on.
+func TestCacheHitReducesPrefill(t *testing.T) {
+	simulate(t, nil, func(t *testing.T, e *Engine) {
+		firstToken := func(id, prompt string) time.Duration {
+			start := time.Now()
+			w, _ := chatStream(t.Context(), e, id, prompt, 1)
+			return w.times[0].Sub(start)
+		}
+		cold := firstToken("a", longPrompt("same", 50))
+		warm := firstToken("b", longPrompt("same", 50)+"more")
+		other := firstToken("c", longPrompt("else", 50))
+		require.InDelta(t, 3200.0/8000, cold.Seconds(), 0.01)
+		require.Less(t, warm, cold/10)
+		require.InDelta(t, cold, other, float64(time.Millisecond))
+		require.EqualValues(t, 3200+1+3200, e.Stats().PrefillTokens)
+		require.EqualValues(t, 3200, e.Stats().CachedTokens)
+	})
+}
+
+// Guards against a cache without limit or with the wrong order of eviction, and
+// against running streams that take no memory.
+func TestCacheMemoryIsLimited(t *testing.T) {
+	simulate(t, func(s *Settings) { s.CacheBlocks = 25 }, func(t *testing.T, e *Engine) {
+		for _, tag := range []string{"a", "b", "a", "c"} {
+			chatWhole(e, tag, longPrompt(tag, 10), 64)
+		}
+		computed := e.Stats().PrefillTokens
+		chatWhole(e, "a2", longPrompt("a", 10), 64)
+		require.EqualValues(t, computed+1, e.Stats().PrefillTokens, "the least recently used prompt is b")
+		require.LessOrEqual(t, get[Load](t, e, "/v1/load").CacheUsedBlocks, 25)
+		w, _ := chatWhole(e, "d", longPrompt("d", 26), 1)
+		require.Equal(t, http.StatusBadRequest, w.Code)
+
+		go chatStream(t.Context(), e, "e", "p", 64*20)
+		synctest.Wait()
+		go chatStream(t.Context(), e, "f", "q", 64*20)
+		synctest.Wait()
+		load := get[Load](t, e, "/v1/load")
+		require.Equal(t, []int{1, 1}, []int{load.Running, load.Waiting}, "both do not fit into memory")
+		time.Sleep(time.Minute)
+		require.Zero(t, get[Load](t, e, "/v1/load").Running)
+	})
+}
+
+// Guards against prefill that costs other streams nothing, and against a queue
+// that serves short requests first.
+func TestPrefillDelaysOthersAndOrderIsArrival(t *testing.T) {
+	simulate(t, func(s *Settings) { s.BatchLimit = 2 }, func(t *testing.T, e *Engine) {
+		ended := make(chan string, 4)
+		run := func(id, prompt string, tokens int) *timedWriter {
+			w, _ := chatStream(t.Context(), e, id, prompt, tokens)
+			ended <- id
+			return w
+		}
+		var steady *timedWriter
+		go func() { steady = run("steady", "p", 200) }()
+		go run("full", "p", 50)
+		time.Sleep(500 * time.Millisecond)
+		go run("long", longPrompt("long", 60), 1)
+		synctest.Wait()
+		go run("short", "q", 1)
+		time.Sleep(time.Minute)
+		require.Equal(t, []string{"full", "long", "short", "steady"}, []string{<-ended, <-ended, <-ended, <-ended})
+		synctest.Wait()
+		widest := time.Duration(0)
+		for i := 1; i < len(steady.times)-1; i++ {
+			widest = max(widest, steady.times[i].Sub(steady.times[i-1]))
+		}
+		require.Greater(t, widest, 40*time.Millisecond, "256 prompt tokens of a step take 32 ms")
+		require.Less(t, widest, 60*time.Millisecond, "the prompt is processed in chunks")
+	})
+}
+
+// Guards against load reports and cache events that are fresher or more complete
+// than those of real engines.
+func TestReportsLagAndHaveGaps(t *testing.T) {
+	simulate(t, func(s *Settings) {
+		s.LoadLag, s.EventDelay, s.EventDropRate = time.Second, time.Second, 0.5
+	}, func(t *testing.T, e *Engine) {
+		time.Sleep(2 * time.Second)
+		go chatStream(t.Context(), e, "a", "p", 100)
+		time.Sleep(900 * time.Millisecond)
+		load := get[Load](t, e, "/v1/load")
+		require.Zero(t, load.Running)
+		require.Equal(t, time.Now().Add(-time.Second).UnixMilli(), load.AsOfUnixMillis)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, 1, get[Load](t, e, "/v1/load").Running)
+
+		for i := range 40 {
+			chatWhole(e, strconv.Itoa(i), longPrompt(strconv.Itoa(i), 1), 1)
+		}
+		require.Less(t, get[CacheEvents](t, e, "/v1/cache_events").Last, int64(40))
+		time.Sleep(2 * time.Second)
+		events := get[CacheEvents](t, e, "/v1/cache_events?after=10")
+		require.EqualValues(t, 40, events.Last)
+		require.Greater(t, len(events.Events), 5)
+		require.Less(t, len(events.Events), 25)
+		require.Greater(t, events.Events[0].Sequence, int64(10))
+	})
+}
--- a/internal/standin/httpserver/httpserver.go
+++ b/internal/standin/httpserver/httpserver.go
@@ -3,7 +3,6 @@
 package httpserver
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,9 +18,10 @@
 	handler http.Handler
 	address string
 
-	mu     sync.Mutex
-	server *http.Server // nil while not listening
-	conns  map[net.Conn]http.ConnState
+	mu       sync.Mutex
+	server   *http.Server // nil while not listening
+	listener net.Listener
+	conns    map[net.Conn]http.ConnState
 }
 
 // New returns a server for a TCP address, which may have port 0. It does not
@@ -55,28 +55,31 @@
 		ReadHeaderTimeout: headerTimeout,
 		ConnState:         s.track,
 	}
-	s.server = server
+	s.server, s.listener = server, listener
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.Abort()
-		}
+		_ = server.Serve(listener) // always ends with an error when the listener is closed
 	}()
 	return nil
 }
 
-// Abort resets all connections and refuses new ones until Start.
+// Abort resets all connections and refuses new ones until Start. The listener is
+// closed first, so that a client that sees the reset cannot connect again.
 func (s *Server) Abort() {
 	s.mu.Lock()
-	server := s.server
-	s.server = nil
+	server, listener := s.server, s.listener
+	s.server, s.listener = nil, nil
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	_ = listener.Close() // fails only when it is closed already
+	s.mu.Lock()
 	conns := s.connsIn(http.StateNew, http.StateActive, http.StateIdle)
 	s.mu.Unlock()
 	for _, conn := range conns {
 		reset(conn)
 	}
-	if server != nil {
-		_ = server.Close() // the listener may be closed already
-	}
+	_ = server.Close() // the listener is closed already
 }
 
 // CloseIdle closes the connections without a request, as a server does at its
--- /dev/null
+++ b/internal/standin/link/link_test.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// waitLimit bounds waits for events that must happen; it is no measured time.
+const waitLimit = 20 * time.Second
+
+// echo starts a server that sends back what it receives.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func start(t *testing.T, settings Settings) (*Link, string) {
+	t.Helper()
+	l := New(settings)
+	t.Cleanup(l.Close)
+	address, err := l.Forward(AToB, "127.0.0.1:0", echo(t))
+	require.NoError(t, err)
+	return l, address
+}
+
+func dial(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
+	return conn.(*net.TCPConn)
+}
+
+// firstError connects and reads until the connection breaks. A reset may arrive
+// before the dial returns.
+func firstError(t *testing.T, address string) error {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+// exchange sends data, ends its direction, and reads the echo to the end.
+func exchange(t *testing.T, conn *net.TCPConn, data []byte) []byte {
+	t.Helper()
+	go func() {
+		_, _ = conn.Write(data)
+		_ = conn.CloseWrite()
+	}()
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	return answer
+}
+
+// Guards against data changed or lost, a missing delay, and wrong counters. Only
+// lower bounds of time are checked, so that a busy machine does not matter.
+func TestDelayAndCounters(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	l, address := start(t, Settings{Delay: delay})
+	data := make([]byte, 300_001)
+	for i := range data {
+		data[i] = byte(i * 7 / 3)
+	}
+	begin := time.Now()
+	require.Equal(t, data, exchange(t, dial(t, address), data))
+	require.GreaterOrEqual(t, time.Since(begin), 2*delay)
+	require.Equal(t, Stats{AToBBytes: 300_001, BToABytes: 300_001, Connections: 1}, l.Stats())
+}
+
+// Guards against a bandwidth that each connection has for itself, which would
+// hide that the link between regions is shared.
+func TestBandwidthIsShared(t *testing.T) {
+	const rate, size, count = 2_000_000, 200_000, 3
+	_, address := start(t, Settings{BytesPerSecond: rate})
+	begin := time.Now()
+	done := make(chan int, count)
+	for range count {
+		conn := dial(t, address)
+		go func() { done <- len(exchange(t, conn, make([]byte, size))) }()
+	}
+	for range count {
+		require.Equal(t, size, <-done)
+	}
+	require.GreaterOrEqual(t, time.Since(begin).Seconds(), float64(size*count-partBytes)/rate)
+}
+
+// Guards against a black hole that lets data pass or that loses it after the heal.
+func TestBlackHoleHoldsData(t *testing.T) {
+	l, address := start(t, Settings{})
+	conn := dial(t, address)
+	_, err := conn.Write([]byte("a"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	require.NoError(t, err)
+
+	l.Cut(BlackHole)
+	_, err = conn.Write([]byte("b"))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "timeout")
+	require.EqualValues(t, 1, l.Stats().AToBBytes)
+
+	l.Heal()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
+	got := make([]byte, 1)
+	_, err = io.ReadFull(conn, got)
+	require.NoError(t, err)
+	require.Equal(t, "b", string(got))
+}
+
+// Guards against a reset that looks like a proper end, and a link that stays cut.
+func TestResetAndHeal(t *testing.T) {
+	l, address := start(t, Settings{})
+	conn := dial(t, address)
+	_, err := conn.Write([]byte("a"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	require.NoError(t, err)
+	l.Cut(Reset)
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "reset")
+	require.ErrorContains(t, firstError(t, address), "reset")
+	l.Heal()
+	require.Equal(t, []byte("c"), exchange(t, dial(t, address), []byte("c")))
+}
+
+// Guards against a target's failure that looks like an empty answer.
+func TestUnreachableTargetResets(t *testing.T) {
+	l := New(Settings{})
+	t.Cleanup(l.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	address, err := l.Forward(BToA, "127.0.0.1:0", listener.Addr().String())
+	require.NoError(t, err)
+	require.ErrorContains(t, firstError(t, address), "reset")
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -259,9 +259,9 @@
 
 // drawnFaults are the faults of one call.
 type drawnFaults struct {
-	pause                                         time.Duration
-	fail, hang, closeBefore, closeAfter, truncate bool
-	poison                                        string
+	pause                                                  time.Duration
+	crashed, fail, hang, closeBefore, closeAfter, truncate bool
+	poison                                                 string
 }
 
 func (s *Service) draw() drawnFaults {
@@ -270,6 +270,7 @@
 	chance := func(rate float64) bool { return rate > 0 && s.rng.Float64() < rate }
 	delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
 	return drawnFaults{
+		crashed:     s.crashed,
 		pause:       delay + max(0, time.Until(s.frozenUntil)),
 		fail:        chance(s.faults.ErrorRate),
 		hang:        chance(s.faults.HangRate),
