--- a/config/errors.go
+++ b/config/errors.go
@@ -11,11 +11,11 @@
 // change to the configuration gives the same error.
 type FieldError struct {
 	// File is the name inside the folder; empty if the configuration was not read from a folder.
-	File string
+	File string `json:"file"`
 	// Field is a path such as routes[1].tier or route "plans": tier; empty if the whole file is meant.
-	Field string
+	Field string `json:"field"`
 	// Reason says what is wrong with the field.
-	Reason string
+	Reason string `json:"reason"`
 }
 
 // Error returns file, field and reason.
