--- /dev/null
+++ b/lease/machine_test.go
@@ -0,0 +1,187 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/basilloom/basilloom/internal/standin/fault"
+	"github.com/basilloom/basilloom/internal/standin/memtable"
+	"github.com/basilloom/basilloom/lease"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// lateTable lets a write take effect long after its caller was told ErrUnknown.
+type lateTable struct {
+	platform.Table
+	pending sync.WaitGroup
+	mu      sync.Mutex
+	delay   time.Duration
+}
+
+func (l *lateTable) set(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+func (l *lateTable) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay == 0 {
+		return l.Table.Put(ctx, key, value, expect)
+	}
+	l.pending.Go(func() {
+		time.Sleep(delay)
+		_, _ = l.Table.Put(context.Background(), key, value, expect)
+	})
+	return platform.Row{}, platform.ErrUnknown
+}
+
+type step struct {
+	op    string
+	pause time.Duration
+}
+
+type episode struct {
+	faults fault.Settings
+	late   time.Duration
+	length time.Duration
+}
+
+func steps() *rapid.Generator[[]step] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			op:    rapid.SampledFrom([]string{"acquire", "acquire", "renew", "renew", "release"}).Draw(t, "op"),
+			pause: time.Duration(rapid.SampledFrom([]int{0, 10, 500, 2_000, 5_000, 9_200, 12_000}).Draw(t, "pause")) * time.Millisecond,
+		}
+	}), 1, 30)
+}
+
+func episodes() *rapid.Generator[[]episode] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) episode {
+		return episode{
+			faults: fault.Settings{
+				Unlimited:       true,
+				Outage:          rapid.IntRange(0, 5).Draw(t, "outage") == 5,
+				LatencyMillis:   rapid.SampledFrom([]int64{0, 0, 0, 20, 3_000, 8_000, 16_000}).Draw(t, "latency"),
+				LoseProbability: rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(t, "lose"),
+			},
+			late:   rapid.SampledFrom([]time.Duration{0, 0, 0, time.Second, 12 * time.Second}).Draw(t, "late"),
+			length: time.Duration(rapid.SampledFrom([]int{1, 50, 1_000, 4_000, 15_000}).Draw(t, "length")) * time.Millisecond,
+		}
+	}), 0, 12)
+}
+
+// record collects the leases that actors obtained and the violations seen.
+type record struct {
+	mu         sync.Mutex
+	leases     []*lease.Lease
+	violations []string
+}
+
+func (r *record) add(l *lease.Lease) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, earlier := range r.leases {
+		if earlier.Fence() == l.Fence() {
+			r.violations = append(r.violations, fmt.Sprintf("fence %d granted twice", l.Fence()))
+		}
+		if earlier.Fence() > l.Fence() && l.Valid(time.Now(), 0) {
+			r.violations = append(r.violations, fmt.Sprintf("fence %d granted after %d", l.Fence(), earlier.Fence()))
+		}
+	}
+	r.leases = append(r.leases, l)
+}
+
+func (r *record) check() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var valid []int64
+	for _, l := range r.leases {
+		if l.Valid(time.Now(), 0) {
+			valid = append(valid, l.Fence())
+		}
+	}
+	if len(valid) > 1 {
+		r.violations = append(r.violations, fmt.Sprintf("fences %v valid at the same time", valid))
+	}
+}
+
+func act(ctx context.Context, m *lease.Manager, list []step, r *record) {
+	var held *lease.Lease
+	for _, s := range list {
+		switch {
+		case s.op == "acquire" && (held == nil || !held.Valid(time.Now(), 0)):
+			if l, err := m.Acquire(ctx, name); err == nil {
+				held = l
+				r.add(l)
+			}
+		case s.op == "renew" && held != nil:
+			_ = held.Renew(ctx)
+		case s.op == "release" && held != nil:
+			_ = held.Release(ctx)
+			held = nil
+		}
+		_ = sleepFor(ctx, s.pause)
+	}
+}
+
+// Guards against two leases valid at the same time and a fencing number granted
+// twice, under pauses, outages, slow calls, lost answers and late writes.
+func TestTwoHoldersNeverValid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		actors := rapid.SliceOfN(steps(), 2, 4).Draw(rt, "actors")
+		faults := episodes().Draw(rt, "faults")
+		settled := rapid.Bool().Draw(rt, "settled")
+		r := &record{}
+		synctest.Test(t, func(t *testing.T) { simulate(t, actors, faults, settled, r) })
+		if len(r.violations) > 0 {
+			rt.Fatalf("%v", r.violations[0])
+		}
+	})
+}
+
+func simulate(t *testing.T, actors [][]step, faults []episode, settled bool, r *record) {
+	inner := memtable.New(fault.Settings{Unlimited: true})
+	table := &lateTable{Table: inner}
+	var shared platform.Table = table
+	if settled {
+		shared = platform.NewSettled(table, platform.SettledSettings{AttemptTimeout: 5 * time.Second, Deadline: 20 * time.Second})
+	}
+	var running sync.WaitGroup
+	for i, list := range actors {
+		running.Go(func() { act(t.Context(), manager(shared, fmt.Sprint(i)), list, r) })
+	}
+	running.Go(func() {
+		for _, e := range faults {
+			inner.Faults.Set(e.faults)
+			table.set(e.late)
+			time.Sleep(e.length)
+		}
+		inner.Faults.Set(fault.Settings{Unlimited: true})
+		table.set(0)
+	})
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		table.pending.Wait()
+		close(done)
+	}()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			r.check()
+		}
+	}
+}
