scheduler: quarantine of poison requests

Cause: a request that crashes its target is sent again by its caller and kills one target after the other.

Ruled out: counting completions as deaths, since one death ends many requests; forgetting a cleared suspect, since an entry that a peer sends late would make it a suspect again. A second death of the same target does not quarantine: a target may be the faulty side.

Conclusion: Quarantine depends on nothing else in the package, so the entry can use it on its own.

--- /dev/null
+++ b/scheduler/quarantine.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Limits of the quarantine.
+const (
+	// SuspectTime is how long a fingerprint stays a suspect after a death.
+	SuspectTime = 10 * time.Minute
+	// QuarantineTime is how long a quarantined fingerprint is refused.
+	QuarantineTime = 10 * time.Minute
+	// QuarantineDeaths is the number of different dead targets that quarantines a suspect.
+	QuarantineDeaths = 2
+	// maxQuarantineRecords bounds the memory; the record that ends first is dropped.
+	maxQuarantineRecords = 4096
+)
+
+// Verdict tells how a fingerprint is to be treated.
+type Verdict int
+
+// Verdicts of a Quarantine.
+const (
+	VerdictClean Verdict = iota
+	// VerdictSuspect requests run with nothing beside them.
+	VerdictSuspect
+	// VerdictQuarantined requests are refused.
+	VerdictQuarantined
+)
+
+// QuarantineEntry is what instances tell each other of one fingerprint.
+// ValidFor is relative, so clocks of instances need not agree.
+type QuarantineEntry struct {
+	Fingerprint uint64
+	ValidFor    time.Duration
+	// Died lists the targets that died while they ran the request.
+	Died []string
+}
+
+// Quarantine records the fingerprints of requests that ran on targets that
+// died. It is not safe for concurrent use.
+type Quarantine struct {
+	records map[uint64]*quarantineRecord
+}
+
+type quarantineRecord struct {
+	died  []string
+	until time.Time
+	// cleared keeps a served suspect's deaths, so that an entry that a peer
+	// sends late does not make it a suspect again.
+	cleared bool
+}
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{records: make(map[uint64]*quarantineRecord)}
+}
+
+// Died records that the target died while it ran the request. Further
+// completions of the same target add nothing. It reports whether the record
+// changed, so that the change can be sent to peers. Fingerprint 0 is ignored.
+func (q *Quarantine) Died(now time.Time, fingerprint uint64, target string) bool {
+	return q.add(now, fingerprint, []string{target}, SuspectTime)
+}
+
+// Served clears a suspect that a target served. A quarantined one stays.
+func (q *Quarantine) Served(now time.Time, fingerprint uint64) {
+	if r, ok := q.records[fingerprint]; ok && r.verdict(now) == VerdictSuspect {
+		r.cleared = true
+	}
+}
+
+// Verdict returns the treatment of a fingerprint and the time for which it holds.
+func (q *Quarantine) Verdict(now time.Time, fingerprint uint64) (Verdict, time.Duration) {
+	r, ok := q.records[fingerprint]
+	if !ok {
+		return VerdictClean, 0
+	}
+	v := r.verdict(now)
+	if v == VerdictClean {
+		return v, 0
+	}
+	return v, r.until.Sub(now)
+}
+
+// Merge adds what other instances know. It reports whether anything changed.
+func (q *Quarantine) Merge(now time.Time, entries []QuarantineEntry) bool {
+	changed := false
+	for _, e := range entries {
+		if q.add(now, e.Fingerprint, e.Died, min(e.ValidFor, QuarantineTime)) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Entries returns the suspects and quarantined fingerprints in force, sorted by fingerprint.
+func (q *Quarantine) Entries(now time.Time) []QuarantineEntry {
+	var entries []QuarantineEntry
+	for fingerprint, r := range q.records {
+		if r.verdict(now) == VerdictClean {
+			continue
+		}
+		entries = append(entries, QuarantineEntry{
+			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), Died: slices.Clone(r.died),
+		})
+	}
+	slices.SortFunc(entries, func(a, b QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return entries
+}
+
+// Expire drops the records whose time is over.
+func (q *Quarantine) Expire(now time.Time) {
+	for fingerprint, r := range q.records {
+		if !now.Before(r.until) {
+			delete(q.records, fingerprint)
+		}
+	}
+}
+
+func (q *Quarantine) add(now time.Time, fingerprint uint64, died []string, valid time.Duration) bool {
+	if fingerprint == 0 || valid <= 0 || len(died) == 0 {
+		return false
+	}
+	r, ok := q.records[fingerprint]
+	if !ok || !now.Before(r.until) {
+		q.makeRoom(now)
+		r = &quarantineRecord{until: now.Add(valid)}
+		q.records[fingerprint] = r
+	}
+	changed := false
+	for _, target := range died {
+		if slices.Contains(r.died, target) {
+			continue
+		}
+		r.died = append(r.died, target)
+		changed = true
+	}
+	if changed {
+		r.cleared = false
+		slices.Sort(r.died)
+		r.until = later(r.until, now.Add(valid))
+	}
+	return changed
+}
+
+func (q *Quarantine) makeRoom(now time.Time) {
+	if len(q.records) < maxQuarantineRecords {
+		return
+	}
+	q.Expire(now)
+	if len(q.records) < maxQuarantineRecords {
+		return
+	}
+	var first uint64
+	var until time.Time
+	for fingerprint, r := range q.records {
+		if until.IsZero() || r.until.Before(until) || (r.until.Equal(until) && fingerprint < first) {
+			first, until = fingerprint, r.until
+		}
+	}
+	delete(q.records, first)
+}
+
+func (r *quarantineRecord) verdict(now time.Time) Verdict {
+	switch {
+	case !now.Before(r.until):
+		return VerdictClean
+	case len(r.died) >= QuarantineDeaths:
+		return VerdictQuarantined
+	case r.cleared:
+		return VerdictClean
+	}
+	return VerdictSuspect
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
