--- /dev/null
+++ b/scheduler/choose.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/basilloom/basilloom/prefix"
+)
+
+const (
+	// scanAll is the number of open targets up to which all are compared.
+	scanAll = 32
+	// sampled is the number of random open targets that are compared otherwise,
+	// beside the holders of the prompt's prefix.
+	sampled = 16
+	// maxHolders bounds the holders that are compared.
+	maxHolders = 16
+	// loadSpread is the cost of a full target over an idle one; it only
+	// decides between targets that are otherwise alike.
+	loadSpread = 10 * time.Millisecond
+)
+
+// estimate is what running a ticket on a target is expected to take, in seconds.
+type estimate struct {
+	cost    float64
+	wait    float64
+	prefill float64
+	total   float64
+	// inTime tells that the first token meets the deadline, inTimeIdle that it
+	// would without the prompts granted before.
+	inTime, inTimeIdle bool
+}
+
+// estimate is the cost of the ticket on the target: wait, prefill of what is
+// not cached, decoding, and transfer with its price.
+func (g *Group) estimate(now time.Time, t *Ticket, s *targetState) estimate {
+	cached := min(s.index.match(now, t.Prefix), t.PromptTokens)
+	uncached := t.PromptTokens - cached
+	load := s.load(now)
+	var e estimate
+	if s.prefillEnd.After(now) {
+		e.wait = s.prefillEnd.Sub(now).Seconds()
+	}
+	e.prefill = s.speed.perToken * float64(uncached)
+	first := s.speed.firstTokenSeconds(uncached)
+	x := g.transferTo(now, t, s.Region)
+	e.total = x.seconds + e.wait + first + s.speed.decodeSeconds(t.OutputTokens, load+1)
+	spread := loadSpread.Seconds() * float64(load) / float64(s.limiter.limit())
+	e.cost = e.total + x.penalty + spread + (g.cfg.PrefillWeight-1)*e.prefill
+	left := t.Deadline.Sub(now).Seconds() - x.seconds
+	trust := s.speed.trust(now)
+	e.inTimeIdle = trust*first <= left
+	e.inTime = trust*(e.wait+first) <= left
+	return e
+}
+
+// choose returns the open target of least cost that meets the ticket's
+// deadline. Without one, waits tells whether one would once its prompts are done.
+func (g *Group) choose(now time.Time, w *waiting, open []*targetState) (best *targetState, chosen estimate, waits bool) {
+	chosen.cost = math.Inf(1)
+	consider := func(s *targetState) {
+		if avoids(&w.ticket, s) {
+			return
+		}
+		e := g.estimate(now, &w.ticket, s)
+		switch {
+		case !e.inTime:
+			waits = waits || e.inTimeIdle
+		case e.cost < chosen.cost || (e.cost == chosen.cost && s.Name < best.Name):
+			best, chosen = s, e
+		}
+	}
+	if len(open) <= scanAll {
+		for _, s := range open {
+			consider(s)
+		}
+		return best, chosen, waits
+	}
+	for _, s := range g.openHolders(w) {
+		consider(s)
+	}
+	for range sampled {
+		consider(open[g.rng.IntN(len(open))])
+	}
+	return best, chosen, waits
+}
+
+// openHolders returns open targets that hold the longest known prefix of the ticket.
+func (g *Group) openHolders(w *waiting) []*targetState {
+	for _, hash := range slices.Backward(w.ticket.Prefix) {
+		var found []*targetState
+		for i, s := range g.holders[hash] {
+			if i == maxHolders {
+				break
+			}
+			if s.isOpenIn(w.class.set) {
+				found = append(found, s)
+			}
+		}
+		if len(found) > 0 {
+			return found
+		}
+	}
+	return nil
+}
+
+// cachedAnywhere bounds the prompt tokens that any target can hold. The next
+// sampled block is held by none, so less than twice the tokens are cached.
+func (g *Group) cachedAnywhere(t *Ticket) int {
+	for i, hash := range slices.Backward(t.Prefix) {
+		if len(g.holders[hash]) > 0 {
+			return min(t.PromptTokens, 2*prefix.SampledTokens(i))
+		}
+	}
+	return 0
+}
+
+func (s *targetState) isOpenIn(set *versionSet) bool {
+	for i := range s.refs {
+		if s.refs[i].set == set {
+			return s.refs[i].position >= 0
+		}
+	}
+	return false
+}
+
+func avoids(t *Ticket, s *targetState) bool {
+	return len(t.Avoid) > 0 && slices.Contains(t.Avoid, s.Name)
+}
--- /dev/null
+++ b/scheduler/choose_test.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilloom/basilloom/prefix"
+)
+
+func testPrefix(seed uint64, blocks int) []uint64 {
+	all := make([]uint64, blocks)
+	for i := range all {
+		all[i] = seed<<16 + uint64(i) + 1
+	}
+	return prefix.Sample(all)
+}
+
+// Guards against a choice that ignores one part of the cost. The target "a"
+// wins each tie, so each case must overcome it.
+func TestChoiceOfTarget(t *testing.T) {
+	target := func(name, region string, prefill, decode float64) Target {
+		return Target{Name: name, Region: region, PrefillTokensPerSecond: prefill, DecodeTokensPerSecond: decode}
+	}
+	alike := []Target{target("a", "r", 1000, 50), target("b", "r", 1000, 50)}
+	remoteA := []Target{target("a", "far", 1000, 50), target("b", "r", 1000, 50)}
+	long := func(t *Ticket) { t.PromptTokens = 10000; t.Prefix = testPrefix(1, 150) }
+	for name, c := range map[string]struct {
+		cfg     GroupConfig
+		targets []Target
+		before  func(g *Group)
+		ticket  func(*Ticket)
+		want    string
+	}{
+		"faster prefill": {targets: []Target{target("a", "r", 1000, 50), target("b", "r", 4000, 50)}, ticket: long, want: "b"},
+		"faster decode":  {targets: []Target{target("a", "r", 1000, 20), target("b", "r", 1000, 50)}, want: "b"},
+		"cached prefix": {targets: alike, ticket: long, want: "b", before: func(g *Group) {
+			g.ObserveCache(t0, "b", []CacheEvent{{Sequence: 1, Kind: CacheStored, Blocks: testPrefix(1, 64)}})
+		}},
+		"short behind long":  {targets: alike, want: "b", before: func(g *Group) { g.Submit(t0, testTicket(1, long)) }},
+		"work of others":     {targets: alike, want: "b", before: func(g *Group) { g.ObserveLoad(t0, LoadReport{Target: "a", AsOf: t0, Running: 3}) }},
+		"prompts of others":  {targets: alike, want: "b", before: func(g *Group) { g.ObserveLoad(t0, LoadReport{Target: "a", AsOf: t0, QueuedPrefillTokens: 5000}) }},
+		"local first":        {targets: remoteA, want: "b"},
+		"local first, busy":  {targets: remoteA, want: "b", before: func(g *Group) { g.ObserveLoad(t0, LoadReport{Target: "b", AsOf: t0, Running: 1}) }},
+		"remote when behind": {targets: remoteA, want: "a", before: func(g *Group) { g.ObserveLoad(t0, LoadReport{Target: "b", AsOf: t0, QueuedPrefillTokens: 5000}) }},
+		"remote at a price": {
+			cfg:     GroupConfig{Links: map[RegionPair]Link{{"r", "far"}: {BytesPerSecond: 4e6, PricePerMegabyte: 10 * time.Second}}},
+			targets: remoteA, want: "b", ticket: func(t *Ticket) { t.BodyBytes = 1e6 },
+			before: func(g *Group) { g.ObserveLoad(t0, LoadReport{Target: "b", AsOf: t0, QueuedPrefillTokens: 5000}) },
+		},
+		"remote with link used up": {
+			cfg:     GroupConfig{Links: map[RegionPair]Link{{"r", "far"}: {BytesPerSecond: 1e6}}},
+			targets: remoteA, want: "b",
+			before: func(g *Group) {
+				g.ObserveLoad(t0, LoadReport{Target: "b", AsOf: t0, QueuedPrefillTokens: 5000})
+				g.chargeLink(t0, &Ticket{Region: "r", BodyBytes: 8e6}, "far")
+			},
+		},
+		"failed to reach": {targets: alike, ticket: func(t *Ticket) { t.Avoid = []string{"a"} }, want: "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(c.cfg, c.targets...)
+			if c.before != nil {
+				c.before(g)
+			}
+			decisions := g.Submit(t0, testTicket(2, c.ticket))
+			require.Equal(t, c.want, decisions[0].(Grant).Target)
+		})
+	}
+}
+
+// Guards against an estimate that charges short requests for long ones, and
+// against one that does not follow a change of speed.
+func TestSpeedIsLearned(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	s := newSpeed(t0, Target{})
+	learn := func(base, perToken float64) {
+		for range 200 {
+			tokens := int(100 * (1 + 99*rng.Float64()*rng.Float64()))
+			first := seconds(base + perToken*float64(tokens))
+			s.observe(t0, Completion{PromptTokens: tokens, OutputTokens: 101, FirstToken: first, Total: first + 2*time.Second}, 0, 4)
+		}
+	}
+	for _, c := range []struct{ base, perToken float64 }{{0.05, 0.0005}, {0.05, 0.002}, {0.2, 0.0001}} {
+		learn(c.base, c.perToken)
+		require.InEpsilon(t, c.base+100*c.perToken, s.firstTokenSeconds(100), 0.1)
+		require.InEpsilon(t, c.base+10000*c.perToken, s.firstTokenSeconds(10000), 0.1)
+	}
+	require.InEpsilon(t, 2.0, s.decodeSeconds(100, 4), 0.1)
+}
+
+// Guards against a limit that leaves batches small or lets the time between
+// tokens exceed the objective.
+func TestConcurrencyFindsTheObjective(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	l := newLimiter(0)
+	within, total := 0, 0
+	for i := range 20000 {
+		batch := l.limit()
+		// 32 ms are reached at a batch of 24; 5% noise.
+		interval := seconds((0.008 + 0.001*float64(batch)) * (1 + 0.05*rng.NormFloat64()))
+		l.observe(interval, DefaultTokenInterval, batch)
+		if i == 500 {
+			require.Greater(t, l.value, 16.0, "the limit rises within minutes")
+		}
+		if i >= 10000 {
+			total++
+			if interval <= DefaultTokenInterval {
+				within++
+			}
+		}
+	}
+	require.InDelta(t, 22, l.value, 4)
+	require.Greater(t, float64(within)/float64(total), 0.9)
+	require.Equal(t, 4, (&limiter{value: 4, ceiling: 4}).limit())
+}
+
+// Guards against stale or unbounded knowledge of a prefix cache. Each script
+// starts with 16 blocks in the index and ends with the tokens that it must report.
+func TestPrefixIndex(t *testing.T) {
+	hashes := testPrefix(1, 16)
+	stored := func(sequence int64, blocks ...uint64) []CacheEvent {
+		return []CacheEvent{{Sequence: sequence, Kind: CacheStored, Blocks: blocks}}
+	}
+	for name, c := range map[string]struct {
+		script func(x *prefixIndex)
+		after  time.Duration
+		want   int
+	}{
+		"kept": {func(*prefixIndex) {}, time.Hour, 1024},
+		"removed": {func(x *prefixIndex) {
+			x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheRemoved, Blocks: hashes[4:]}})
+		}, 0, 512},
+		"start removed": {func(x *prefixIndex) {
+			x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheRemoved, Blocks: hashes[:1]}})
+		}, 0, 0},
+		"cleared":         {func(x *prefixIndex) { x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheCleared}}) }, 0, 0},
+		"gap halves":      {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)) }, time.Second, 512},
+		"gap drops":       {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)) }, 61 * time.Second, 0},
+		"gap, confirmed":  {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)); x.observe(t0.Add(2), stored(6, hashes...)) }, time.Second, 1024},
+		"gap, dispatched": {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)); x.dispatched(t0.Add(2), hashes[:3]) }, time.Second, 512},
+		"two gaps": {func(x *prefixIndex) {
+			x.observe(t0.Add(1), stored(5, 99))
+			x.observe(t0.Add(50*time.Second), stored(9, 99))
+		}, 61 * time.Second, 0},
+		"repeated event":         {func(x *prefixIndex) { x.observe(t0.Add(1), stored(1, 99)); x.observe(t0.Add(2), stored(2, 98)) }, time.Second, 1024},
+		"restarted":              {func(x *prefixIndex) { x.observe(t0, stored(2, 99)); x.observe(t0.Add(1), stored(1, 98)) }, 0, 0},
+		"own limit":              {func(x *prefixIndex) { x.setLimit(12); x.dispatched(t0, testPrefix(2, 2048)) }, 0, 0},
+		"target's memory":        {func(x *prefixIndex) { x.setCacheBlocks(20); x.dispatched(t0, testPrefix(2, 8)) }, 0, 512},
+		"events do not displace": {func(x *prefixIndex) { x.setLimit(12); x.observe(t0, stored(2, 91, 92, 93, 94, 95, 96, 97, 98, 99)) }, 0, 1024},
+		"grant not used":         {func(x *prefixIndex) { x.dispatched(t0.Add(1), hashes[3:]); x.undo(t0.Add(1), hashes[3:]) }, 0, 256},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shared := make(holders)
+			x := newPrefixIndex(&targetState{}, shared)
+			x.observe(t0, stored(1, 7))
+			x.dispatched(t0, hashes)
+			c.script(x)
+			require.Equal(t, c.want, x.match(t0.Add(c.after), hashes))
+			require.Len(t, shared, len(x.entries))
+			require.Equal(t, len(x.entries), x.used.Len()+x.announced.Len())
+			x.clear()
+			require.Empty(t, shared)
+			require.Zero(t, x.blocks)
+		})
+	}
+}
+
+// Guards against prefill that is wasted although another target holds the
+// prompt: 12 targets hold 4 of 40 prompts each.
+func TestIndexSavesPrefill(t *testing.T) {
+	wasted := func(known bool) (tokens int) {
+		var targets []Target
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+			targets = append(targets, Target{Name: name, Region: "r", Concurrency: 8, PrefillTokensPerSecond: 5000, DecodeTokensPerSecond: 50})
+		}
+		g := testGroup(GroupConfig{}, targets...)
+		rng := rand.New(rand.NewPCG(5, 5))
+		caches := make(map[string][]int)
+		now := t0
+		for n := range 2000 {
+			now = now.Add(100 * time.Millisecond)
+			prompt := rng.IntN(40)
+			d := g.Submit(now, testTicket(n, func(t *Ticket) {
+				t.PromptTokens, t.Deadline = 8192, now.Add(time.Hour)
+				if known {
+					t.Prefix = testPrefix(uint64(prompt), 128)
+				}
+			}))
+			grant, ok := d[0].(Grant)
+			require.True(t, ok)
+			cache := caches[grant.Target]
+			cached := 0
+			for i, p := range cache {
+				if p == prompt {
+					cached, cache = 8192, append(cache[:i:i], cache[i+1:]...)
+					break
+				}
+			}
+			cache = append(cache, prompt)
+			caches[grant.Target] = cache[max(0, len(cache)-4):]
+			tokens += 8192 - cached
+			first := seconds(0.02 + float64(8192-cached)/5000)
+			g.Complete(now, Completion{ID: testID(n), Result: ResultServed, PromptTokens: 8192, CachedTokens: cached, OutputTokens: 100, FirstToken: first, Total: first + 2*time.Second})
+		}
+		return tokens
+	}
+	with, without := wasted(true), wasted(false)
+	t.Logf("prefill not served from a cache: %d tokens with the index, %d without", with, without)
+	require.Less(t, with, without/4)
+}
--- /dev/null
+++ b/scheduler/dispatch.go
@@ -0,0 +1,247 @@
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// maxSkips bounds the tickets of a tier that are passed over in one call
+	// because no open target suits them.
+	maxSkips = 16
+	// maxProbeScan bounds the tickets of a tier that are considered as a probe.
+	maxProbeScan = 16
+)
+
+// placement is the result of an attempt to place a ticket.
+type placement int
+
+const (
+	placed placement = iota
+	// refused tickets have left the queue.
+	refused
+	// unsuited tickets stay; no open target suits them.
+	unsuited
+	// delayed tickets stay; an open target suits them as soon as the prompts
+	// before theirs are done.
+	delayed
+)
+
+// schedule grants waiting tickets while targets are open, the higher tiers first.
+func (g *Group) schedule(now time.Time) []Decision {
+	decisions := g.probe(now, nil)
+	decisions = g.serveReserved(now, decisions)
+	for _, tier := range g.queue.tiers {
+		if tier.count == 0 {
+			continue
+		}
+		var hold bool
+		decisions, hold = g.scheduleTier(now, tier, decisions)
+		if hold {
+			// A lower tier would lengthen the wait of the delayed ticket.
+			break
+		}
+	}
+	return decisions
+}
+
+func (g *Group) scheduleTier(now time.Time, tier *tierQueue, decisions []Decision) ([]Decision, bool) {
+	hold := false
+	g.stash = g.stash[:0]
+	for len(g.stash) < maxSkips {
+		w := tier.next()
+		if w == nil {
+			break
+		}
+		d, result := g.place(now, w)
+		switch result {
+		case placed, refused:
+			decisions = append(decisions, d)
+		case delayed:
+			hold = true
+			g.setAside(w)
+		case unsuited:
+			g.setAside(w)
+		}
+	}
+	for _, w := range g.stash {
+		heap.Push(&w.class.tickets, w)
+	}
+	return decisions, hold
+}
+
+func (g *Group) setAside(w *waiting) {
+	heap.Remove(&w.class.tickets, w.classIndex)
+	g.stash = append(g.stash, w)
+}
+
+// next returns the ticket with the least start tag among the classes that have
+// an open target.
+func (t *tierQueue) next() *waiting {
+	var best *waiting
+	for _, c := range t.classes {
+		if len(c.tickets) == 0 || len(c.set.open) == 0 {
+			continue
+		}
+		w := c.tickets[0]
+		if best == nil || w.start < best.start || (w.start == best.start && w.sequence < best.sequence) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (g *Group) place(now time.Time, w *waiting) (Decision, placement) {
+	verdict, remaining := g.quarantine.Verdict(now, w.ticket.Fingerprint)
+	switch verdict {
+	case VerdictQuarantined:
+		return g.refuse(w, ReasonQuarantined, remaining), refused
+	case VerdictSuspect:
+		return g.placeSuspect(now, w)
+	}
+	s, best, waits := g.choose(now, w, w.class.set.open)
+	switch {
+	case s != nil:
+		return g.grant(now, w, s, best), placed
+	case waits:
+		return nil, delayed
+	}
+	return nil, unsuited
+}
+
+// grant gives the ticket a slot on the target.
+func (g *Group) grant(now time.Time, w *waiting, s *targetState, e estimate) Decision {
+	g.queue.dispatched(w)
+	g.unreserve(w)
+	r := &run{
+		ticket: w.ticket, target: s, granted: now, batch: s.load(now) + 1,
+		expected: seconds(e.total), wait: seconds(e.wait), prefill: seconds(e.prefill),
+	}
+	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict == VerdictSuspect {
+		r.alone = true
+	}
+	g.start(now, r)
+	g.grants = append(g.grants, r)
+	g.chargeLink(now, &w.ticket, s.Region)
+	return Grant{Ticket: w.ticket.ID, Target: s.Name, Expires: now.Add(GrantValidity)}
+}
+
+// placeSuspect grants a suspect an idle target, so that others do not fail with
+// it, or has the least loaded open target drain for it.
+func (g *Group) placeSuspect(now time.Time, w *waiting) (Decision, placement) {
+	var idle []*targetState
+	var least *targetState
+	for _, s := range w.class.set.open {
+		load := s.load(now)
+		if load == 0 && len(idle) < scanAll {
+			idle = append(idle, s)
+		}
+		if least == nil || load < least.load(now) {
+			least = s
+		}
+	}
+	if s, best, _ := g.choose(now, w, idle); s != nil {
+		return g.grant(now, w, s, best), placed
+	}
+	if len(idle) == 0 && g.reserved == nil {
+		g.reserved, least.reserved = least, w
+		g.refreshOpen(least)
+	}
+	return nil, unsuited
+}
+
+// serveReserved grants the reserved target to its suspect once it is idle, and
+// gives it up when a ticket of a higher tier needs it.
+func (g *Group) serveReserved(now time.Time, decisions []Decision) []Decision {
+	s := g.reserved
+	if s == nil {
+		return decisions
+	}
+	w := s.reserved
+	if s.health.state != HealthGood || g.higherNeeds(s, w.ticket.Tier) {
+		g.release(s)
+		return decisions
+	}
+	if s.load(now) > 0 {
+		return decisions
+	}
+	g.release(s)
+	if e := g.estimate(now, &w.ticket, s); e.inTime && s.canOpen(now) {
+		decisions = append(decisions, g.grant(now, w, s, e))
+	}
+	return decisions
+}
+
+// higherNeeds reports whether a ticket above the tier waits that only the
+// reserved target could take.
+func (g *Group) higherNeeds(s *targetState, rank Rank) bool {
+	for _, tier := range g.queue.tiers {
+		if tier.rank >= rank {
+			return false
+		}
+		for _, c := range tier.classes {
+			if len(c.tickets) > 0 && len(c.set.open) == 0 && s.hasVersion(c.version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// release ends the reservation of a target.
+func (g *Group) release(s *targetState) {
+	if g.reserved != s {
+		return
+	}
+	g.reserved, s.reserved = nil, nil
+	g.refreshOpen(s)
+}
+
+// probe grants each half-open target one request of the lowest risk.
+func (g *Group) probe(now time.Time, decisions []Decision) []Decision {
+	if len(g.halfOpen) == 0 || g.queue.len() == 0 {
+		return decisions
+	}
+	kept := g.halfOpen[:0]
+	for _, s := range g.halfOpen {
+		if s.health.state != HealthHalfOpen || s.removed {
+			continue
+		}
+		w := g.findProbe(now, s)
+		if w == nil {
+			kept = append(kept, s)
+			continue
+		}
+		s.health.startProbe(w.ticket.ID)
+		decisions = append(decisions, g.grant(now, w, s, g.estimate(now, &w.ticket, s)))
+	}
+	clear(g.halfOpen[len(kept):])
+	g.halfOpen = kept
+	return decisions
+}
+
+func (g *Group) findProbe(now time.Time, s *targetState) *waiting {
+	if s.Leaving || s.running >= s.limiter.limit() {
+		return nil
+	}
+	lowest := g.capacity.lowestInUse()
+	for i := len(g.queue.tiers) - 1; i >= 0; i-- {
+		scanned := 0
+		for w := g.queue.tiers[i].newest; w != nil && scanned < maxProbeScan; w = w.older {
+			scanned++
+			if g.isProbe(now, w, s, lowest) {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+func (g *Group) isProbe(now time.Time, w *waiting, s *targetState, lowest Rank) bool {
+	t := &w.ticket
+	if !s.health.mayProbe(now, t, lowest) || !s.hasVersion(t.Version) || avoids(t, s) {
+		return false
+	}
+	verdict, _ := g.quarantine.Verdict(now, t.Fingerprint)
+	return verdict == VerdictClean
+}
--- /dev/null
+++ b/scheduler/floor_test.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// floorGroup has one busy target, a full queue of two tickets of tier 2, and
+// the given siblings.
+func floorGroup(lowest Rank, siblings ...int) *Group {
+	g := testGroup(GroupConfig{QueueLimit: 2, Siblings: siblings, LowestTier: lowest}, Target{Name: "x", Concurrency: 1})
+	for i := range 3 {
+		g.Submit(t0, testTicket(i, onTier(2)))
+	}
+	g.Dispatched(t0, testID(0))
+	return g
+}
+
+// Guards against a refusal for capacity while a sibling still accepts a lower
+// tier (invariant 2).
+func TestFloorBeforeShedding(t *testing.T) {
+	ask := FloorRequest{Highest: 2, ValidFor: FloorValidity, Siblings: []int{1, 2}}
+	refuse := func(n int) Decision { return Refuse{testID(n), ReasonQueueFull, 4 * time.Second} }
+	for name, c := range map[string]struct {
+		lowest Rank
+		script func(g *Group) []Decision
+		want   []Decision
+	}{
+		"no acknowledgement": {script: func(*Group) []Decision { return nil }},
+		"one of two":         {script: func(g *Group) []Decision { return g.FloorAcked(t0, 1, 2, time.Second) }},
+		"both": {script: func(g *Group) []Decision {
+			g.FloorAcked(t0, 1, 2, time.Second)
+			return g.FloorAcked(t0, 2, 2, time.Second)
+		}, want: []Decision{refuse(3)}},
+		"stricter than needed": {script: func(g *Group) []Decision {
+			g.FloorAcked(t0, 1, 0, time.Second)
+			return g.FloorAcked(t0, 2, 2, time.Second)
+		}, want: []Decision{refuse(3)}},
+		"too lax": {script: func(g *Group) []Decision {
+			g.FloorAcked(t0, 1, 3, time.Second)
+			return g.FloorAcked(t0, 2, 2, time.Second)
+		}},
+		"one ran out": {script: func(g *Group) []Decision {
+			g.FloorAcked(t0, 1, 2, time.Millisecond)
+			return g.FloorAcked(t0.Add(2*time.Millisecond), 2, 2, time.Second)
+		}},
+		"other unreachable": {script: func(g *Group) []Decision {
+			g.FloorAcked(t0, 1, 2, time.Second)
+			return g.SetSiblingReachable(t0, 2, false)
+		}, want: []Decision{refuse(3)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := floorGroup(c.lowest, 1, 2)
+			require.Equal(t, []Decision{ask}, g.Submit(t0, testTicket(3, onTier(2))))
+			require.Equal(t, c.want, c.script(g))
+		})
+	}
+	t.Run("lowest tier needs none", func(t *testing.T) {
+		require.IsType(t, Refuse{}, floorGroup(2, 1).Submit(t0, testTicket(3, onTier(2)))[0])
+	})
+	t.Run("bounded without acknowledgement", func(t *testing.T) {
+		g := floorGroup(0, 1)
+		for i := 3; i < 20; i++ {
+			g.Submit(t0, testTicket(i, onTier(2)))
+		}
+		require.Equal(t, 2*g.cfg.QueueLimit, g.queue.len())
+	})
+}
+
+// Guards against a floor that lapses during the overload or outlives it.
+func TestFloorIsRenewed(t *testing.T) {
+	g := floorGroup(0, 1)
+	g.Submit(t0, testTicket(3, onTier(2)))
+	require.Empty(t, g.Tick(t0.Add(FloorValidity/10)))
+	require.IsType(t, FloorRequest{}, g.Tick(t0.Add(FloorValidity / 4))[0])
+	g.Withdraw(t0, testID(3))
+	require.Empty(t, g.Tick(t0.Add(2*FloorValidity)))
+}
+
+// Guards against a group that serves tiers which a sibling's floor shuts out.
+func TestAcceptedFloor(t *testing.T) {
+	g := floorGroup(0)
+	shut := g.AcceptFloor(t0, 1, 1, time.Second)
+	require.Equal(t, []Decision{Refuse{testID(2), ReasonShutOut, time.Second}, Refuse{testID(1), ReasonShutOut, time.Second}}, shut)
+	require.Equal(t, ReasonShutOut, g.Submit(t0, testTicket(4, onTier(2)))[0].(Refuse).Reason)
+	require.Empty(t, g.Submit(t0, testTicket(5, onTier(1))), "the floor's own tier is accepted")
+
+	g.AcceptFloor(t0, 1, 2, 3*time.Second)
+	rank, ok := g.Floor(t0)
+	require.True(t, ok)
+	require.Equal(t, Rank(1), rank, "a laxer floor does not end a stricter one")
+	rank, _ = g.Floor(t0.Add(2 * time.Second))
+	require.Equal(t, Rank(2), rank, "the laxer one outlives it")
+	_, ok = g.Floor(t0.Add(3 * time.Second))
+	require.False(t, ok)
+}
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -1,208 +1,396 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
-// GrantValidity is the time within which an entry must use a grant.
-const GrantValidity = 2 * time.Second
-
-// Defaults of GroupConfig.
+// Times of a group's records.
 const (
-	DefaultQueueLimit  = 1000
-	DefaultConcurrency = 8
+	// orphanGrace is how long running requests of an entry whose stream ended
+	// keep their slot, unless the entry returns and names them again.
+	orphanGrace = 10 * time.Second
+	// reclaimMemory is how long a reclaimed grant is remembered, for a message
+	// of its dispatch that comes late.
+	reclaimMemory = 10 * time.Second
+	// noDeadline stands in for the deadline of a ticket without one.
+	noDeadline = time.Hour
 )
 
-// GroupConfig holds the settings of a group.
-type GroupConfig struct {
-	Pool  string
-	Shard int
-	// QueueLimit bounds the waiting tickets; 0 means DefaultQueueLimit.
-	QueueLimit int
-}
-
 // Group schedules the tickets of one target group. It is not safe for
 // concurrent use.
 type Group struct {
-	cfg     GroupConfig
-	rng     *rand.Rand
+	cfg GroupConfig
+	rng *rand.Rand
+	// now is the time of the current call.
+	now     time.Time
 	targets map[string]*targetState
-	waiting []Ticket
+	// order holds the targets sorted by name, so that equal inputs give equal decisions.
+	order   []*targetState
+	sets    map[string]*versionSet
+	holders holders
+	links   map[RegionPair]*link
+	queue   *queue
 	running map[TicketID]*run
+	// grants holds the granted requests in order of time, for their expiry.
+	grants    []*run
+	reclaimed map[TicketID]*run
+	victims   victims
+	// cancelling counts the running requests that the group has cancelled.
+	cancelling int
+	// halfOpen lists the targets that wait for a probe.
+	halfOpen []*targetState
+	// reserved is the target that drains for a suspect.
+	reserved   *targetState
+	quarantine *Quarantine
+	floor      *floor
+	capacity   capacity
+	swept      time.Time
+	// urgentChecked is when cancellations for deadlines were last considered.
+	urgentChecked time.Time
+	// stash is scratch space of schedule.
+	stash []*waiting
 }
 
-type targetState struct {
-	Target
-	running int
-}
-
+// run is a granted ticket.
 type run struct {
-	ticket  Ticket
-	target  string
-	granted time.Time
+	ticket     Ticket
+	target     *targetState
+	granted    time.Time
+	dispatched bool
+	cancelled  bool
+	// alone marks a suspect, which runs with nothing beside it.
+	alone bool
+	// orphaned is when the entry's stream ended; zero while the entry is there.
+	orphaned time.Time
+	// reclaimed is when the unused grant was taken back.
+	reclaimed time.Time
+	// expected is the estimated time of the whole request, wait the part behind
+	// other prompts, prefill the part of its own prompt.
+	expected, wait, prefill time.Duration
+	// batch is the number of requests on the target at the grant.
+	batch int
+	// older and newer are the neighbours among the tier's cancellable requests.
+	older, newer *run
+	isVictim     bool
 }
 
 // NewGroup returns an empty group.
 func NewGroup(cfg GroupConfig, rng *rand.Rand) *Group {
-	if cfg.QueueLimit == 0 {
-		cfg.QueueLimit = DefaultQueueLimit
-	}
+	cfg = cfg.withDefaults()
 	return &Group{
-		cfg:     cfg,
-		rng:     rng,
-		targets: make(map[string]*targetState),
-		running: make(map[TicketID]*run),
+		cfg:        cfg,
+		rng:        rng,
+		targets:    make(map[string]*targetState),
+		sets:       make(map[string]*versionSet),
+		holders:    make(holders),
+		links:      newLinks(cfg.Links),
+		queue:      newQueue(),
+		running:    make(map[TicketID]*run),
+		reclaimed:  make(map[TicketID]*run),
+		quarantine: NewQuarantine(),
+		floor:      newFloor(cfg.Siblings, cfg.LowestTier),
 	}
 }
 
-// SetTargets replaces the targets of the group.
+// SetTargets replaces the targets of the group. What was learned of a target
+// that stays is kept.
 func (g *Group) SetTargets(now time.Time, targets []Target) []Decision {
-	next := make(map[string]*targetState, len(targets))
+	g.now = now
+	present := make(map[string]bool, len(targets))
 	for _, t := range targets {
-		state := &targetState{Target: t}
-		if old, ok := g.targets[t.Name]; ok {
-			state.running = old.running
+		present[t.Name] = true
+		g.setTarget(t)
+	}
+	for name, s := range g.targets {
+		if !present[name] && !s.removed {
+			g.removeTarget(s)
 		}
-		next[t.Name] = state
 	}
-	g.targets = next
-	return g.schedule(now)
+	for _, s := range g.targets {
+		s.index.setLimit(g.cfg.PrefixEntries / max(1, len(targets)))
+	}
+	g.sortTargets()
+	g.rebuildSets(now)
+	g.capacity.count(g.order)
+	return g.decide(now)
+}
+
+func (g *Group) setTarget(t Target) {
+	s, ok := g.targets[t.Name]
+	if !ok {
+		g.targets[t.Name] = newTargetState(g.now, t, g.holders)
+		return
+	}
+	if s.Concurrency != t.Concurrency {
+		s.limiter = newLimiter(t.Concurrency)
+	}
+	if s.PrefillTokensPerSecond != t.PrefillTokensPerSecond || s.DecodeTokensPerSecond != t.DecodeTokensPerSecond {
+		s.speed = newSpeed(g.now, t)
+	}
+	s.Target = t
+	s.removed = false
+}
+
+func (g *Group) removeTarget(s *targetState) {
+	s.removed = true
+	s.index.clear()
+	g.release(s)
+	// The sets are rebuilt after all removals.
+	s.refs = nil
+	g.forgetIfUnused(s)
+}
+
+// forgetIfUnused drops a removed target once nothing runs on it.
+func (g *Group) forgetIfUnused(s *targetState) {
+	if s.removed && s.running == 0 {
+		delete(g.targets, s.Name)
+		g.order = slices.DeleteFunc(g.order, func(o *targetState) bool { return o == s })
+	}
+}
+
+func (g *Group) sortTargets() {
+	g.order = slices.SortedFunc(maps.Values(g.targets), func(a, b *targetState) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // Submit adds a waiting ticket. A ticket that is known already is not added again.
 func (g *Group) Submit(now time.Time, t Ticket) []Decision {
-	if _, ok := g.running[t.ID]; ok || g.isWaiting(t.ID) {
+	g.now = now
+	if _, ok := g.running[t.ID]; ok || g.queue.byID[t.ID] != nil {
 		return nil
 	}
-	if len(g.waiting) >= g.cfg.QueueLimit {
-		return []Decision{Refuse{Ticket: t.ID, Reason: ReasonQueueFull, RetryAfter: time.Second}}
+	// An entry submits again only what it has not dispatched.
+	delete(g.reclaimed, t.ID)
+	if refusal, ok := g.refuseAtOnce(now, &t); ok {
+		return []Decision{refusal}
 	}
-	g.waiting = append(g.waiting, t)
-	return g.schedule(now)
+	if t.Deadline.IsZero() {
+		t.Deadline = now.Add(noDeadline)
+	}
+	g.capacity.submitted(t.Tier)
+	g.noteUnreachable(now, &t)
+	w := g.queue.push(t, g.set(t.Version), t.Deadline)
+	g.queue.postpone(w, g.latestDispatch(w))
+	return g.decide(now)
+}
+
+// noteUnreachable counts the target that the entry just failed to reach as a failure of it.
+func (g *Group) noteUnreachable(now time.Time, t *Ticket) {
+	if len(t.Avoid) == 0 {
+		return
+	}
+	s, ok := g.targets[t.Avoid[len(t.Avoid)-1]]
+	if !ok {
+		return
+	}
+	s.health.failed(now, &run{ticket: *t, target: s, granted: now}, false, g.rng)
+	g.refreshOpen(s)
 }
 
 // Adopt records a ticket that an earlier broker granted.
 func (g *Group) Adopt(now time.Time, t Ticket, target string, age time.Duration) {
-	if _, ok := g.running[t.ID]; ok {
+	g.now = now
+	if r, ok := g.running[t.ID]; ok {
+		r.orphaned = time.Time{}
+		r.dispatched = true
 		return
 	}
-	g.running[t.ID] = &run{ticket: t, target: target, granted: now.Add(-age)}
-	if state, ok := g.targets[target]; ok {
-		state.running++
+	if w := g.queue.byID[t.ID]; w != nil {
+		g.dropWaiting(w)
+	}
+	delete(g.reclaimed, t.ID)
+	s, ok := g.targets[target]
+	if !ok {
+		s = newTargetState(now, Target{Name: target}, g.holders)
+		s.removed = true
+		g.targets[target] = s
+		g.sortTargets()
+	}
+	// The time counts from the adoption, as nothing is known of the target's
+	// progress before it.
+	r := &run{ticket: t, target: s, granted: now, dispatched: true, batch: s.running + 1}
+	whole := s.speed.firstTokenSeconds(t.PromptTokens) + s.speed.decodeSeconds(t.OutputTokens, r.batch)
+	r.expected = max(0, seconds(whole)-age)
+	g.start(now, r)
+}
+
+// start enters a granted request into the counts.
+func (g *Group) start(now time.Time, r *run) {
+	g.running[r.ticket.ID] = r
+	r.target.started(now, r.prefill)
+	r.target.index.dispatched(r.granted, r.ticket.Prefix)
+	if r.alone {
+		r.target.alone = true
+	}
+	g.victims.add(r)
+	g.refreshOpen(r.target)
+}
+
+// stop takes a request out of the counts.
+func (g *Group) stop(now time.Time, r *run) {
+	delete(g.running, r.ticket.ID)
+	g.victims.remove(r)
+	if r.cancelled {
+		g.cancelling--
+	}
+	if r.alone {
+		r.target.alone = false
 	}
+	r.target.ended(now)
+	g.refreshOpen(r.target)
+	g.forgetIfUnused(r.target)
 }
 
 // Dispatched records that the entry has begun to use its grant.
-func (g *Group) Dispatched(_ time.Time, _ TicketID) {}
+func (g *Group) Dispatched(now time.Time, id TicketID) {
+	g.now = now
+	if r, ok := g.running[id]; ok {
+		r.dispatched = true
+		return
+	}
+	r, ok := g.reclaimed[id]
+	if !ok {
+		return
+	}
+	// The message crossed the reclaim; the request does run.
+	delete(g.reclaimed, id)
+	if s, ok := g.targets[r.target.Name]; ok {
+		r.target = s
+	} else {
+		g.targets[r.target.Name] = r.target
+		g.sortTargets()
+	}
+	r.dispatched = true
+	g.start(now, r)
+}
 
 // Withdraw removes a waiting ticket whose caller is gone.
-func (g *Group) Withdraw(_ time.Time, id TicketID) []Decision {
-	for i := range g.waiting {
-		if g.waiting[i].ID == id {
-			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-			break
-		}
+func (g *Group) Withdraw(now time.Time, id TicketID) []Decision {
+	g.now = now
+	if w := g.queue.byID[id]; w != nil {
+		g.dropWaiting(w)
 	}
-	return nil
+	return g.decide(now)
 }
 
-// Complete ends a granted ticket.
+// Complete ends a granted ticket. An unknown or reclaimed ticket is ignored.
 func (g *Group) Complete(now time.Time, c Completion) []Decision {
+	g.now = now
+	delete(g.reclaimed, c.ID)
 	r, ok := g.running[c.ID]
 	if !ok {
 		return nil
 	}
-	delete(g.running, c.ID)
-	if state, ok := g.targets[r.target]; ok {
-		state.running--
-	}
-	return g.schedule(now)
+	g.learn(now, r, c)
+	g.stop(now, r)
+	return g.decide(now)
 }
 
-// EntryGone drops the waiting tickets of an entry whose stream ended.
-func (g *Group) EntryGone(_ time.Time, instance string, incarnation uint64) {
-	kept := g.waiting[:0]
-	for _, t := range g.waiting {
-		if t.ID.Instance != instance || t.ID.Incarnation != incarnation {
-			kept = append(kept, t)
+// learn draws the conclusions of a completion for its target.
+func (g *Group) learn(now time.Time, r *run, c Completion) {
+	s := r.target
+	switch c.Result {
+	case ResultServed:
+		g.learnServed(now, r, c)
+	case ResultFailed:
+		s.health.failed(now, r, false, g.rng)
+	case ResultTargetDied:
+		g.quarantine.Died(now, r.ticket.Fingerprint, s.Name)
+		s.health.failed(now, r, true, g.rng)
+		s.index.clear()
+		s.prefillEnd = now
+	case ResultNotDispatched:
+		s.index.undo(r.granted, r.ticket.Prefix)
+		s.prefillEnd = s.prefillEnd.Add(-r.prefill)
+		if s.health.probe == r.ticket.ID {
+			// Half-open again would draw the next ticket to an unreachable target at once.
+			s.health.failed(now, r, false, g.rng)
 		}
+	case ResultCancelled:
+		g.probeEnded(r)
 	}
-	g.waiting = kept
-}
-
-// ObserveLoad corrects the group's own counts by a target's published load.
-func (g *Group) ObserveLoad(_ time.Time, _ LoadReport) {}
-
-// ObserveCache feeds the prefix index with a target's cache events.
-func (g *Group) ObserveCache(_ time.Time, _ string, _ []CacheEvent) {}
-
-// Tick makes the decisions that depend on time alone.
-func (g *Group) Tick(now time.Time) []Decision {
-	var decisions []Decision
-	kept := g.waiting[:0]
-	for _, t := range g.waiting {
-		if now.After(t.Deadline) {
-			decisions = append(decisions, Refuse{Ticket: t.ID, Reason: ReasonDeadline})
-			continue
-		}
-		kept = append(kept, t)
+	if c.Result != ResultNotDispatched {
+		s.health.lastDone = now
 	}
-	g.waiting = kept
-	return append(decisions, g.schedule(now)...)
 }
 
-func (g *Group) isWaiting(id TicketID) bool {
-	for i := range g.waiting {
-		if g.waiting[i].ID == id {
-			return true
-		}
+func (g *Group) learnServed(now time.Time, r *run, c Completion) {
+	s := r.target
+	g.quarantine.Served(now, r.ticket.Fingerprint)
+	batch := (r.batch + s.running + 1) / 2
+	slowness := s.speed.observe(now, c, r.wait, batch)
+	s.health.served(now, c.ID, slowness, g.rng)
+	if interval, ok := tokenInterval(c); ok && !s.Service {
+		s.limiter.observe(interval, s.speed.objective(g.cfg.TokenInterval), batch)
 	}
-	return false
+	s.index.dispatched(now, r.ticket.Prefix)
+	g.capacity.served(c.Total)
 }
 
-func (g *Group) schedule(now time.Time) []Decision {
-	var decisions []Decision
-	for i := 0; i < len(g.waiting); {
-		t := g.waiting[i]
-		target := g.leastLoaded(t)
-		if target == nil {
-			i++
-			continue
-		}
-		g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-		target.running++
-		g.running[t.ID] = &run{ticket: t, target: target.Name, granted: now}
-		decisions = append(decisions, Grant{Ticket: t.ID, Target: target.Name, Expires: now.Add(GrantValidity)})
+func (g *Group) probeEnded(r *run) {
+	if r.target.health.probeEnded(r.ticket.ID) {
+		g.halfOpen = append(g.halfOpen, r.target)
 	}
-	return decisions
 }
 
-func (g *Group) leastLoaded(t Ticket) *targetState {
-	var best *targetState
-	for _, s := range g.targets {
-		limit := s.Concurrency
-		if limit == 0 {
-			limit = DefaultConcurrency
+// EntryGone drops the waiting tickets of an entry whose stream ended and takes
+// back its unused grants. Its running requests keep their slots for a while,
+// because the entry may return with them.
+func (g *Group) EntryGone(now time.Time, instance string, incarnation uint64) {
+	g.now = now
+	of := func(id TicketID) bool { return id.Instance == instance && id.Incarnation == incarnation }
+	for id, w := range g.queue.byID {
+		if of(id) {
+			g.dropWaiting(w)
 		}
-		if s.Leaving || s.running >= limit || !s.hasVersion(t.Version) {
-			continue
-		}
-		if best == nil || s.running < best.running || (s.running == best.running && s.Name < best.Name) {
-			best = s
+	}
+	for id, r := range g.running {
+		switch {
+		case !of(id):
+		case r.dispatched:
+			r.orphaned = now
+		default:
+			g.reclaim(now, r)
 		}
 	}
-	return best
 }
 
-func (s *targetState) hasVersion(version string) bool {
-	if version == "" {
-		return true
+// reclaim takes back a grant that was not used.
+func (g *Group) reclaim(now time.Time, r *run) {
+	g.probeEnded(r)
+	r.target.index.undo(r.granted, r.ticket.Prefix)
+	g.stop(now, r)
+	r.cancelled = false
+	r.reclaimed = now
+	g.reclaimed[r.ticket.ID] = r
+}
+
+// ObserveLoad corrects the group's own counts by a target's published load.
+func (g *Group) ObserveLoad(now time.Time, r LoadReport) {
+	g.now = now
+	if s, ok := g.targets[r.Target]; ok {
+		s.observeLoad(now, r)
+		g.refreshOpen(s)
 	}
-	for _, v := range s.Versions {
-		if v == version {
-			return true
-		}
+}
+
+// ObserveCache feeds the prefix index with a target's cache events.
+func (g *Group) ObserveCache(now time.Time, target string, events []CacheEvent) {
+	g.now = now
+	if s, ok := g.targets[target]; ok && !s.removed {
+		s.index.observe(now, events)
 	}
-	return false
 }
+
+// SetQuarantined merges what other instances know of poison requests.
+func (g *Group) SetQuarantined(now time.Time, entries []QuarantineEntry) []Decision {
+	g.now = now
+	g.quarantine.Merge(now, entries)
+	return g.decide(now)
+}
+
+// Quarantined returns the suspects and quarantined fingerprints to tell other instances.
+func (g *Group) Quarantined(now time.Time) []QuarantineEntry { return g.quarantine.Entries(now) }
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -20,3 +20,280 @@
 	third := g.Complete(now, Completion{ID: TicketID{Sequence: 1}, Result: ResultServed})
 	require.Equal(t, TicketID{Sequence: 2}, third[0].(Grant).Ticket)
 }
+
+// t0 is the time at which tests start.
+var t0 = time.Unix(1000, 0)
+
+func testGroup(cfg GroupConfig, targets ...Target) *Group {
+	g := NewGroup(cfg, rand.New(rand.NewPCG(1, 1)))
+	g.SetTargets(t0, targets)
+	return g
+}
+
+func testID(n int) TicketID { return TicketID{Instance: "i", Incarnation: 1, Sequence: uint64(n)} }
+
+// testTicket returns a ticket that has a minute until its deadline.
+func testTicket(n int, change func(*Ticket)) Ticket {
+	t := Ticket{
+		ID: testID(n), Workspace: "w", Region: "r", PromptTokens: 100, OutputTokens: 100,
+		Deadline: t0.Add(time.Minute), Fingerprint: uint64(n), Idempotent: true,
+	}
+	if change != nil {
+		change(&t)
+	}
+	return t
+}
+
+func onTier(tier Rank) func(*Ticket) { return func(t *Ticket) { t.Tier = tier } }
+
+func served(n int) Completion { return Completion{ID: testID(n), Result: ResultServed} }
+
+// drain completes the running tickets one by one and returns the order of the grants.
+func drain(g *Group, now time.Time, decisions []Decision) []int {
+	var order []int
+	for len(decisions) > 0 {
+		grant, ok := decisions[0].(Grant)
+		decisions = decisions[1:]
+		if ok {
+			order = append(order, int(grant.Ticket.Sequence))
+			decisions = append(decisions, g.Complete(now, served(order[len(order)-1]))...)
+		}
+	}
+	return order
+}
+
+// Guards against a lower tier that is served first, and against a workspace
+// with many or long requests that starves another.
+func TestOrderOfGrants(t *testing.T) {
+	ws := func(name string, weight float64, tokens int) func(*Ticket) {
+		return func(t *Ticket) { t.Workspace, t.Weight, t.PromptTokens, t.OutputTokens = name, weight, tokens, 0 }
+	}
+	for name, c := range map[string]struct {
+		tickets []func(*Ticket)
+		want    []int
+	}{
+		"tiers":       {[]func(*Ticket){onTier(2), onTier(0), onTier(1), onTier(0)}, []int{1, 3, 2, 0}},
+		"equal share": {[]func(*Ticket){ws("a", 1, 10), ws("a", 1, 10), ws("a", 1, 10), ws("b", 1, 10)}, []int{0, 3, 1, 2}},
+		"token cost":  {[]func(*Ticket){ws("a", 1, 1000), ws("a", 1, 1000), ws("b", 1, 400), ws("b", 1, 400), ws("b", 1, 400)}, []int{0, 2, 3, 4, 1}},
+		"weights":     {[]func(*Ticket){ws("a", 1, 10), ws("a", 1, 10), ws("b", 3, 10), ws("b", 3, 10), ws("b", 3, 10)}, []int{0, 2, 3, 4, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 1})
+			first := g.Submit(t0, testTicket(99, func(t *Ticket) { t.Workspace = "first" }))
+			require.Len(t, first, 1)
+			for i, change := range c.tickets {
+				require.Empty(t, g.Submit(t0, testTicket(i, change)))
+			}
+			require.Equal(t, c.want, drain(g, t0, first)[1:])
+		})
+	}
+}
+
+// Guards against shedding anything but the newest ticket of the lowest tier.
+func TestFullQueueSheds(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting []Rank
+		arrives Rank
+		want    int
+	}{
+		"lowest newest":     {[]Rank{0, 2, 2, 1}, 0, 2},
+		"the new one":       {[]Rank{0, 0, 1, 1}, 3, 4},
+		"equal tier is new": {[]Rank{1, 1, 1, 1}, 1, 4},
+		"a single lower":    {[]Rank{1, 0, 0, 0}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{QueueLimit: len(c.waiting)}, Target{Name: "x", Concurrency: 1})
+			g.Submit(t0, testTicket(99, nil))
+			for i, tier := range c.waiting {
+				require.Empty(t, g.Submit(t0, testTicket(i, onTier(tier))))
+			}
+			decisions := g.Submit(t0, testTicket(len(c.waiting), onTier(c.arrives)))
+			require.Len(t, decisions, 1)
+			refusal := decisions[0].(Refuse)
+			require.Equal(t, testID(c.want), refusal.Ticket)
+			require.Equal(t, ReasonQueueFull, refusal.Reason)
+			require.GreaterOrEqual(t, refusal.RetryAfter, time.Second, "5 tickets of about 1 s each are ahead")
+		})
+	}
+}
+
+// Guards against counts that leak or go negative when messages are lost,
+// repeated or late. After each script one slot of two must be in use or free as told.
+func TestCountsSurviveMessages(t *testing.T) {
+	late := t0.Add(GrantValidity + time.Millisecond)
+	for name, c := range map[string]struct {
+		script  func(g *Group)
+		running int
+	}{
+		"submitted twice":          {func(g *Group) { g.Submit(t0, testTicket(1, nil)) }, 1},
+		"unused grant":             {func(g *Group) { g.Tick(late) }, 0},
+		"used grant":               {func(g *Group) { g.Dispatched(t0, testID(1)); g.Tick(late) }, 1},
+		"completion after reclaim": {func(g *Group) { g.Tick(late); g.Complete(late, served(1)) }, 0},
+		"dispatched after reclaim": {func(g *Group) { g.Tick(late); g.Dispatched(late, testID(1)) }, 1},
+		"completed twice":          {func(g *Group) { g.Complete(t0, served(1)); g.Complete(t0, served(1)) }, 0},
+		"submitted after reclaim":  {func(g *Group) { g.Tick(late); g.Submit(late, testTicket(1, nil)) }, 1},
+		"entry gone, unused":       {func(g *Group) { g.EntryGone(t0, "i", 1) }, 0},
+		"entry gone, then returns": {func(g *Group) {
+			g.Dispatched(t0, testID(1))
+			g.EntryGone(t0, "i", 1)
+			g.Adopt(t0, testTicket(1, nil), "x", 0)
+			g.Tick(t0.Add(time.Minute))
+		}, 1},
+		"entry gone for good":    {func(g *Group) { g.Dispatched(t0, testID(1)); g.EntryGone(t0, "i", 1); g.Tick(t0.Add(time.Minute)) }, 0},
+		"other incarnation gone": {func(g *Group) { g.EntryGone(t0, "i", 2) }, 1},
+		"adopted":                {func(g *Group) { g.Adopt(t0, testTicket(2, nil), "x", time.Second); g.Tick(late) }, 1},
+		"adopted while waiting": {func(g *Group) {
+			g.Submit(t0, testTicket(2, nil))
+			g.Submit(t0, testTicket(3, nil))
+			g.Adopt(t0, testTicket(3, nil), "x", 0)
+		}, 3},
+		"target removed and back": {func(g *Group) { g.SetTargets(t0, nil); g.SetTargets(t0, []Target{{Name: "x", Concurrency: 2}}) }, 1},
+		"dispatched, target removed": {func(g *Group) {
+			g.Tick(late)
+			g.SetTargets(late, nil)
+			g.Dispatched(late, testID(1))
+			g.SetTargets(late, []Target{{Name: "x"}})
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 2})
+			require.Len(t, g.Submit(t0, testTicket(1, nil)), 1)
+			c.script(g)
+			require.Equal(t, c.running, g.Snapshot()[0].Running)
+			require.Len(t, g.running, c.running)
+			for id := range g.running {
+				g.Complete(late, Completion{ID: id, Result: ResultServed})
+			}
+			require.Zero(t, g.Snapshot()[0].Running)
+		})
+	}
+}
+
+// Guards against prefill spent on a ticket that is late anyway, and against
+// refusals that rest on invented or outdated speeds.
+func TestDeadlineRefusals(t *testing.T) {
+	slow := Target{Name: "x", Concurrency: 1, PrefillTokensPerSecond: 1000, DecodeTokensPerSecond: 50}
+	long := func(t *Ticket) { t.PromptTokens, t.Deadline = 10000, t0.Add(2*time.Second) }
+	short := func(t *Ticket) { t.Deadline = t0.Add(2 * time.Second) }
+	versioned := func(t *Ticket) { t.Version, t.Deadline = "v2", t0.Add(2*time.Second) }
+	for name, c := range map[string]struct {
+		target  Target
+		ticket  func(*Ticket)
+		busy    bool
+		after   time.Duration
+		granted bool
+		reason  Reason
+	}{
+		"cannot be met":          {target: slow, ticket: long, reason: ReasonDeadline},
+		"can be met":             {target: slow, ticket: short, granted: true},
+		"unknown speed":          {target: Target{Name: "x"}, ticket: long, granted: true},
+		"outdated speed":         {target: slow, ticket: func(t *Ticket) { long(t); t.Deadline = t0.Add(2*time.Minute + 2*time.Second) }, after: 2 * time.Minute, granted: true},
+		"no longer after a wait": {target: slow, ticket: short, busy: true, after: 1950 * time.Millisecond, reason: ReasonDeadline},
+		"still in the queue":     {target: slow, ticket: short, busy: true, after: 1500 * time.Millisecond},
+		"no version yet":         {target: slow, ticket: versioned, after: 1990 * time.Millisecond},
+		"no version":             {target: slow, ticket: versioned, after: 2001 * time.Millisecond, reason: ReasonNoTarget},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, c.target)
+			if c.busy {
+				g.Submit(t0, testTicket(1, nil))
+				g.Dispatched(t0, testID(1))
+			}
+			submitted := t0
+			if !c.busy && c.ticket != nil && c.reason != ReasonNoTarget && c.granted {
+				submitted = t0.Add(c.after)
+			}
+			decisions := g.Submit(submitted, testTicket(2, c.ticket))
+			decisions = append(decisions, g.Tick(t0.Add(c.after))...)
+			switch {
+			case c.granted:
+				require.IsType(t, Grant{}, decisions[0])
+			case c.reason == "":
+				require.Empty(t, decisions)
+			default:
+				require.Equal(t, c.reason, decisions[0].(Refuse).Reason)
+				require.Positive(t, decisions[0].(Refuse).RetryAfter)
+			}
+		})
+	}
+}
+
+// Guards against a lower tier that lengthens the wait of a higher ticket whose
+// deadline leaves no room behind the prompts before it.
+func TestDelayedTicketHoldsLowerTiers(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "x", PrefillTokensPerSecond: 1000})
+	require.Len(t, g.Submit(t0, testTicket(1, func(t *Ticket) { t.PromptTokens = 1500 })), 1)
+	require.Empty(t, g.Submit(t0, testTicket(2, func(t *Ticket) { t.PromptTokens, t.Deadline = 500, t0.Add(1800*time.Millisecond) })))
+	require.Empty(t, g.Submit(t0, testTicket(3, onTier(1))))
+	early := g.Complete(t0.Add(500*time.Millisecond), served(1))
+	require.Len(t, early, 2)
+	require.Equal(t, testID(2), early[0].(Grant).Ticket)
+}
+
+// Guards against cancelled work that saves no higher ticket, and against
+// cancelling another than the newest of the lowest tier.
+func TestCancelIsTheLastStep(t *testing.T) {
+	running := func(n int, tier Rank, cancellable bool) Ticket {
+		return testTicket(n, func(t *Ticket) { t.Tier, t.Cancellable = tier, cancellable })
+	}
+	group := func(limit int) *Group {
+		g := testGroup(GroupConfig{QueueLimit: limit}, Target{Name: "x", Concurrency: 4, PrefillTokensPerSecond: 1000, DecodeTokensPerSecond: 50})
+		for i, r := range []Ticket{running(1, 2, true), running(2, 3, true), running(3, 3, true), running(4, 4, false)} {
+			require.Len(t, g.Submit(t0, r), 1, "ticket %d", i)
+			g.Dispatched(t0, r.ID)
+		}
+		return g
+	}
+	soon := func(tier Rank) func(*Ticket) {
+		return func(t *Ticket) { t.Tier, t.Deadline = tier, t0.Add(2*time.Second) }
+	}
+	t.Run("before a missed deadline", func(t *testing.T) {
+		g := group(10)
+		require.Empty(t, g.Submit(t0, testTicket(10, soon(0))))
+		require.Empty(t, g.Tick(t0.Add(time.Second)), "there is time to wait for a free slot")
+		late := t0.Add(1750 * time.Millisecond)
+		require.Equal(t, []Decision{Cancel{testID(3), ReasonHigherTier}}, g.Tick(late))
+		require.Empty(t, g.Tick(late.Add(20*time.Millisecond)), "one cancellation for a ticket")
+		freed := g.Complete(late.Add(30*time.Millisecond), Completion{ID: testID(3), Result: ResultCancelled})
+		require.Equal(t, testID(10), freed[0].(Grant).Ticket)
+	})
+	t.Run("before a full queue sheds", func(t *testing.T) {
+		g := group(1)
+		require.Empty(t, g.Submit(t0, testTicket(10, onTier(2))))
+		require.Equal(t, []Decision{Cancel{testID(3), ReasonHigherTier}}, g.Submit(t0, testTicket(11, onTier(2))))
+		require.Equal(t, []Decision{Cancel{testID(2), ReasonHigherTier}}, g.Submit(t0, testTicket(12, onTier(2))))
+		require.IsType(t, Refuse{}, g.Submit(t0, testTicket(13, onTier(2)))[0], "tier 2 is not cancelled for tier 2")
+	})
+	t.Run("not for an equal or lower tier", func(t *testing.T) {
+		g := group(10)
+		g.Submit(t0, testTicket(10, soon(3)))
+		for ms := 1600; ms < 2100; ms += 50 {
+			for _, d := range g.Tick(t0.Add(time.Duration(ms) * time.Millisecond)) {
+				require.IsType(t, Refuse{}, d)
+			}
+		}
+	})
+}
+
+// Guards against reports that erase later grants, and against unseen work of others.
+func TestLoadReports(t *testing.T) {
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		asOf, running, waiting, want int
+	}{
+		"older than both grants":  {-1000, 0, 0, 2},
+		"between, sees first":     {500, 1, 0, 2},
+		"between, sees others":    {500, 3, 1, 5},
+		"after both":              {2000, 2, 0, 2},
+		"after both, sees others": {2000, 5, 0, 5},
+		"second still under way":  {1050, 1, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, Target{Name: "x"})
+			g.Submit(at(0), testTicket(1, nil))
+			g.Submit(at(1000), testTicket(2, nil))
+			g.ObserveLoad(at(2100), LoadReport{Target: "x", AsOf: at(c.asOf), Running: c.running, Waiting: c.waiting})
+			require.Equal(t, c.want, g.targets["x"].load(at(2100)))
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/health_test.go
@@ -0,0 +1,223 @@
+package scheduler
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ended(n int, result Result) Completion { return Completion{ID: testID(n), Result: result} }
+
+func healthOf(g *Group, name string) HealthState { return g.targets[name].health.state }
+
+// Guards against a broken target that attracts traffic because it fails fast,
+// and against the ejection of a target for faults that are not its own.
+func TestFailuresEject(t *testing.T) {
+	for name, c := range map[string]struct {
+		results []Result
+		same    bool
+		want    HealthState
+	}{
+		"consecutive failures":         {results: []Result{ResultFailed, ResultFailed, ResultFailed}, want: HealthEjected},
+		"interrupted by a success":     {results: []Result{ResultFailed, ResultFailed, ResultServed, ResultFailed}, want: HealthGood},
+		"one request, sent repeatedly": {results: []Result{ResultFailed, ResultFailed, ResultFailed, ResultFailed}, same: true, want: HealthGood},
+		"a death":                      {results: []Result{ResultTargetDied}, want: HealthEjected},
+		"cancellations":                {results: []Result{ResultCancelled, ResultCancelled, ResultCancelled}, want: HealthGood},
+		"unused grants":                {results: []Result{ResultNotDispatched, ResultNotDispatched, ResultNotDispatched}, want: HealthGood},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, Target{Name: "a"})
+			for i, result := range c.results {
+				g.Submit(t0, testTicket(i, func(t *Ticket) {
+					if c.same {
+						t.Fingerprint = 1
+					}
+				}))
+				g.Complete(t0, ended(i, result))
+			}
+			require.Equal(t, c.want, healthOf(g, "a"))
+		})
+	}
+	t.Run("unreachable", func(t *testing.T) {
+		g := testGroup(GroupConfig{}, Target{Name: "a"}, Target{Name: "b"})
+		for i := range ejectFailures {
+			g.Submit(t0, testTicket(i, func(t *Ticket) { t.Avoid = []string{"a"} }))
+		}
+		require.Equal(t, HealthEjected, healthOf(g, "a"))
+	})
+}
+
+// Guards against probes with valuable requests, with several at once, and
+// against a back-off that does not grow.
+func TestHalfOpenProbe(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "a"}, Target{Name: "b", Concurrency: 1})
+	kill := func(now time.Time, n int) {
+		g.Adopt(now, testTicket(n, nil), "a", 0)
+		g.Complete(now, ended(n, ResultTargetDied))
+	}
+	g.Submit(t0, testTicket(100, func(t *Ticket) { t.Avoid = []string{"a"}; t.Tier = 3 }))
+	g.Dispatched(t0, testID(100))
+	kill(t0, 1)
+	require.Empty(t, g.Submit(t0, testTicket(10, onTier(0))), "ejected")
+	now := t0.Add(firstBackoff * 2)
+	require.Empty(t, g.Tick(now), "tier 0 is not the lowest in use")
+	require.Empty(t, g.Submit(now, testTicket(11, func(t *Ticket) { t.Tier, t.Idempotent = 3, false })), "not idempotent")
+	probe := g.Submit(now, testTicket(12, onTier(3)))
+	require.Equal(t, []Decision{Grant{testID(12), "a", now.Add(GrantValidity)}}, probe)
+	require.Empty(t, g.Submit(now, testTicket(13, onTier(3))), "one probe at a time")
+	first := g.targets["a"].health.backoff
+	g.Complete(now, ended(12, ResultFailed))
+	require.Equal(t, HealthEjected, healthOf(g, "a"))
+	require.Equal(t, 2*first, g.targets["a"].health.backoff)
+
+	now = now.Add(2 * first * 2)
+	decisions := g.Tick(now)
+	require.Equal(t, testID(13), decisions[0].(Grant).Ticket)
+	opened := g.Complete(now, ended(13, ResultServed))
+	require.Equal(t, HealthGood, healthOf(g, "a"))
+	require.Len(t, opened, 2, "the waiting tickets get the target again")
+	kill(now, 2)
+	require.Greater(t, g.targets["a"].health.backoff, 2*first, "one served probe does not reset the back-off")
+}
+
+// Guards against a probe that an unreachable target draws again at once, and
+// against a group that stays closed when nothing suits as a probe.
+func TestProbeEdges(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "a"})
+	g.Submit(t0, testTicket(1, nil))
+	g.Complete(t0, ended(1, ResultTargetDied))
+	require.Empty(t, g.Submit(t0, testTicket(2, func(t *Ticket) { t.Idempotent = false })))
+	now := t0.Add(2 * time.Second)
+	require.Empty(t, g.Tick(now))
+	now = now.Add(probeDesperation)
+	require.Len(t, g.Tick(now), 1)
+	g.Complete(now, ended(2, ResultNotDispatched))
+	require.Equal(t, HealthEjected, healthOf(g, "a"))
+}
+
+// Guards against an outlying target that keeps its traffic, and against the
+// ejection of a whole group, or of an older hardware generation, for its speed.
+func TestSlowTargetsAreEjected(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowness []float64
+		decode   []float64
+		want     int
+	}{
+		"one outlier":       {slowness: []float64{1, 1, 1, 10}, want: 1},
+		"all slow":          {slowness: []float64{10, 10, 10, 10}, want: 0},
+		"half of them slow": {slowness: []float64{1, 1, 1, 10, 10, 10}, want: 0},
+		"at most a third":   {slowness: []float64{1, 1, 1, 1, 10, 10, 10}, want: 2},
+		"older generation":  {slowness: []float64{1, 1, 1, 1}, decode: []float64{50, 50, 50, 5}, want: 0},
+		"too few":           {slowness: []float64{1, 10}, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var targets []Target
+			for i := range c.slowness {
+				target := Target{Name: strconv.Itoa(i), PrefillTokensPerSecond: 5000, DecodeTokensPerSecond: 50}
+				if c.decode != nil {
+					target.DecodeTokensPerSecond = c.decode[i]
+				}
+				targets = append(targets, target)
+			}
+			g := testGroup(GroupConfig{}, targets...)
+			for i, factor := range c.slowness {
+				for n := range 20 {
+					id := i*100 + n
+					g.Adopt(t0, testTicket(id, nil), targets[i].Name, 0)
+					whole := 100 / targets[i].DecodeTokensPerSecond * factor
+					g.Complete(t0, Completion{ID: testID(id), Result: ResultServed, PromptTokens: 100, OutputTokens: 100, FirstToken: 40 * time.Millisecond, Total: seconds(whole)})
+				}
+			}
+			g.Tick(t0.Add(2 * time.Second))
+			ejected := 0
+			for _, s := range g.Snapshot() {
+				if s.Health != HealthGood {
+					require.Equal(t, EjectSlow, s.Cause)
+					ejected++
+				}
+			}
+			require.Equal(t, c.want, ejected)
+		})
+	}
+}
+
+// Guards against a target that hangs and keeps its place, and against the
+// ejection of one that answers others or is only a little late.
+func TestHangingTargetIsEjected(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		other bool
+		want  HealthState
+	}{
+		"far beyond the estimate": {after: time.Minute, want: HealthEjected},
+		"a little late":           {after: 5 * time.Second, want: HealthGood},
+		"answers others":          {after: time.Minute, other: true, want: HealthGood},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGroup(GroupConfig{}, Target{Name: "a", DecodeTokensPerSecond: 50})
+			g.Submit(t0, testTicket(1, nil))
+			g.Dispatched(t0, testID(1))
+			now := t0.Add(c.after)
+			if c.other {
+				g.Submit(now, testTicket(2, nil))
+				g.Complete(now, ended(2, ResultServed))
+			}
+			g.Tick(now)
+			require.Equal(t, c.want, healthOf(g, "a"))
+			g.Complete(now, ended(1, ResultServed))
+			require.Equal(t, HealthGood, healthOf(g, "a"), "a late answer clears the suspicion")
+		})
+	}
+}
+
+// Guards against others that fail with a suspect, and against a poison request
+// that reaches a third target.
+func TestSuspectsRunAlone(t *testing.T) {
+	poison := func(n int) Ticket { return testTicket(n, func(t *Ticket) { t.Fingerprint = 666 }) }
+	suspect := []QuarantineEntry{{Fingerprint: 666, ValidFor: time.Minute, Died: []string{"z"}}}
+	group := func(targets ...Target) *Group {
+		g := testGroup(GroupConfig{}, targets...)
+		g.SetQuarantined(t0, suspect)
+		return g
+	}
+	t.Run("nothing beside it", func(t *testing.T) {
+		g := group(Target{Name: "a", Concurrency: 4})
+		require.Len(t, g.Submit(t0, poison(1)), 1)
+		require.Empty(t, g.Submit(t0, testTicket(2, nil)))
+		require.Len(t, g.Complete(t0, ended(1, ResultServed)), 1)
+		require.Empty(t, g.Quarantined(t0), "served clears")
+		require.Len(t, g.Submit(t0, poison(3)), 1, "beside another now")
+	})
+	t.Run("a target drains for it", func(t *testing.T) {
+		g := group(Target{Name: "a", Concurrency: 4})
+		require.Len(t, g.Submit(t0, testTicket(1, nil)), 1)
+		require.Empty(t, g.Submit(t0, poison(2)))
+		require.Empty(t, g.Submit(t0, testTicket(3, nil)), "the target drains")
+		require.Equal(t, testID(2), g.Complete(t0, ended(1, ResultServed))[0].(Grant).Ticket)
+	})
+	t.Run("a higher tier does not wait for it", func(t *testing.T) {
+		g := group(Target{Name: "a", Concurrency: 4})
+		g.Submit(t0, testTicket(1, nil))
+		low := poison(2)
+		low.Tier = 1
+		require.Empty(t, g.Submit(t0, low))
+		require.Len(t, g.Submit(t0, testTicket(3, nil)), 1)
+	})
+	t.Run("withdrawn while a target drains", func(t *testing.T) {
+		g := group(Target{Name: "a", Concurrency: 4})
+		g.Submit(t0, testTicket(1, nil))
+		g.Submit(t0, poison(2))
+		g.Withdraw(t0, testID(2))
+		require.Len(t, g.Submit(t0, testTicket(3, nil)), 1)
+	})
+	t.Run("refused after the second death", func(t *testing.T) {
+		g := group(Target{Name: "a"}, Target{Name: "b"})
+		require.Len(t, g.Submit(t0, poison(1)), 1)
+		g.Complete(t0, ended(1, ResultTargetDied))
+		refusal := g.Submit(t0, poison(2))[0].(Refuse)
+		require.Equal(t, ReasonQuarantined, refusal.Reason)
+		require.Equal(t, QuarantineTime, refusal.RetryAfter)
+	})
+}
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-var t0 = time.Unix(1000, 0)
-
 // Guards against a poison request that keeps killing targets, and against the
 // blame of requests that only ran beside it.
 func TestQuarantineVerdicts(t *testing.T) {
--- /dev/null
+++ b/scheduler/refuse.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// noTargetRetry is the advice when no target has the wanted version; loading
+	// a version takes far longer than any queue.
+	noTargetRetry = 5 * time.Second
+	// hardLimitFactor times the queue limit is never exceeded, not even while
+	// siblings have not acknowledged a floor.
+	hardLimitFactor = 2
+)
+
+// refuseAtOnce refuses a new ticket that may not wait at all.
+func (g *Group) refuseAtOnce(now time.Time, t *Ticket) (Decision, bool) {
+	if verdict, remaining := g.quarantine.Verdict(now, t.Fingerprint); verdict == VerdictQuarantined {
+		return Refuse{Ticket: t.ID, Reason: ReasonQuarantined, RetryAfter: remaining}, true
+	}
+	if held, ok := g.floor.current(now); ok && t.Tier > held.highest {
+		return Refuse{Ticket: t.ID, Reason: ReasonShutOut, RetryAfter: held.until.Sub(now)}, true
+	}
+	return nil, false
+}
+
+// refuse removes a waiting ticket.
+func (g *Group) refuse(w *waiting, reason Reason, retryAfter time.Duration) Decision {
+	g.dropWaiting(w)
+	return Refuse{Ticket: w.ticket.ID, Reason: reason, RetryAfter: retryAfter}
+}
+
+// dropWaiting removes a ticket that will not be served.
+func (g *Group) dropWaiting(w *waiting) {
+	g.queue.drop(w)
+	g.unreserve(w)
+}
+
+// unreserve ends a reservation for a ticket that left the queue.
+func (g *Group) unreserve(w *waiting) {
+	if g.reserved != nil && g.reserved.reserved == w {
+		g.release(g.reserved)
+	}
+}
+
+// latestDispatch returns the last time at which a dispatch of the ticket could
+// meet its deadline on the best target there is. It leaves out the queue: a
+// refusal by an estimate of the queue could let a lower tier be served instead.
+func (g *Group) latestDispatch(w *waiting) time.Time {
+	uncached := w.ticket.PromptTokens - g.cachedAnywhere(&w.ticket)
+	return w.ticket.Deadline.Add(-w.class.set.firstToken(uncached))
+}
+
+// refuseLate refuses the tickets that can no longer meet their deadline.
+func (g *Group) refuseLate(now time.Time, decisions []Decision) []Decision {
+	for len(g.queue.latest) > 0 && g.queue.latest[0].latest.Before(now) {
+		w := g.queue.latest[0]
+		// The speeds may have changed since the time was computed.
+		if latest := g.latestDispatch(w); !latest.Before(now) {
+			g.queue.postpone(w, latest)
+			continue
+		}
+		decisions = append(decisions, g.refuseDeadline(w))
+	}
+	return decisions
+}
+
+func (g *Group) refuseDeadline(w *waiting) Decision {
+	for _, s := range w.class.set.members {
+		if s.health.state == HealthGood {
+			return g.refuse(w, ReasonDeadline, g.retryAfter(w.ticket.Tier))
+		}
+	}
+	return g.refuse(w, ReasonNoTarget, noTargetRetry)
+}
+
+// retryAfter estimates when the tickets that wait now in the tier and above
+// will have been served.
+func (g *Group) retryAfter(tier Rank) time.Duration {
+	return g.capacity.retryAfter(g.queue.waitingUpTo(tier))
+}
+
+// shed brings the queue back to its limit: the newest ticket of the lowest
+// tier goes first. Running work of lower tiers is cancelled before, and siblings
+// must have shut out the lower tiers.
+func (g *Group) shed(now time.Time, decisions []Decision) []Decision {
+	for g.queue.len() > g.cfg.QueueLimit+g.cancelling {
+		w := g.queue.lowest()
+		if d, ok := g.cancelFor(now, w); ok {
+			decisions = append(decisions, d)
+			continue
+		}
+		if request, ok := g.floor.want(now, w.ticket.Tier); ok {
+			decisions = append(decisions, request)
+		}
+		full := g.queue.len() > hardLimitFactor*g.cfg.QueueLimit
+		if !full && !g.floor.mayShed(now, w.ticket.Tier) {
+			break
+		}
+		decisions = append(decisions, g.refuse(w, ReasonQueueFull, g.retryAfter(w.ticket.Tier)))
+	}
+	return decisions
+}
+
+// refuseBelowFloor refuses the waiting tickets that a sibling's floor shuts out.
+func (g *Group) refuseBelowFloor(now time.Time) []Decision {
+	held, ok := g.floor.current(now)
+	if !ok {
+		return nil
+	}
+	var decisions []Decision
+	for _, tier := range slices.Backward(g.queue.tiers) {
+		for tier.rank > held.highest && tier.newest != nil {
+			decisions = append(decisions, g.refuse(tier.newest, ReasonShutOut, held.until.Sub(now)))
+		}
+	}
+	return decisions
+}
--- /dev/null
+++ b/scheduler/speed.go
@@ -0,0 +1,230 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of learned speeds.
+const (
+	// defaultPrefill and defaultDecode stand in, in tokens per second, for
+	// speeds that the configuration does not give.
+	defaultPrefill = 5000.0
+	defaultDecode  = 40.0
+	// firstTokenOverhead is assumed before any first token was measured.
+	firstTokenOverhead = 20 * time.Millisecond
+	// fitMemory is the weight that older samples keep with each new one.
+	fitMemory = 0.95
+	// priorWeight is the weight of each of the two points of the initial
+	// estimate. They keep the fit determined when all lengths are equal.
+	priorWeight = 0.05
+	// priorTokens is the prompt length of the second point of the initial estimate.
+	priorTokens = 4096
+	// priorBatch is the batch size of that point, where a step is assumed to
+	// take priorBatchSlowdown times as long as alone.
+	priorBatch         = 32
+	priorBatchSlowdown = 1.5
+	// staleEstimate halves the estimate that refusals rest on for each such
+	// time without a measurement. Otherwise one slow spell could refuse every
+	// request, and with them the measurements that would end it.
+	staleEstimate = 30 * time.Second
+	// slownessWeight is the weight of a new sample in a target's slowness.
+	slownessWeight = 0.2
+)
+
+// fit is a line through exponentially weighted samples, by least squares.
+// Request lengths vary a hundredfold, so a mean alone would charge short
+// requests for long ones.
+type fit struct {
+	w, x, y, xx, xy float64
+	prior           [2]point
+}
+
+type point struct{ x, y float64 }
+
+func newFit(a, b point) fit { return fit{prior: [2]point{a, b}} }
+
+func (f *fit) add(x, y float64) {
+	f.w = f.w*fitMemory + 1
+	f.x = f.x*fitMemory + x
+	f.y = f.y*fitMemory + y
+	f.xx = f.xx*fitMemory + x*x
+	f.xy = f.xy*fitMemory + x*y
+}
+
+// line returns intercept and slope, neither of them negative.
+func (f *fit) line() (intercept, slope float64) {
+	w, x, y, xx, xy := f.w, f.x, f.y, f.xx, f.xy
+	for _, p := range f.prior {
+		w += priorWeight
+		x += priorWeight * p.x
+		y += priorWeight * p.y
+		xx += priorWeight * p.x * p.x
+		xy += priorWeight * p.x * p.y
+	}
+	slope = math.Max(0, (w*xy-x*y)/(w*xx-x*x))
+	intercept = (y - slope*x) / w
+	if intercept < 0 {
+		return 0, xy / xx
+	}
+	return intercept, slope
+}
+
+// speed is what is known of a target's speed.
+type speed struct {
+	// firstToken maps uncached prompt tokens to seconds until the first token.
+	firstToken fit
+	// interval maps the batch size to seconds between tokens.
+	interval fit
+	// The lines are kept, as they are read far more often than they change.
+	base, perToken        float64
+	intervalBase, perSlot float64
+	// known is false until a speed is configured or measured; refusals do not
+	// rest on invented speeds.
+	known bool
+	// measured is the time of the last measurement, at first of the configuration.
+	measured time.Time
+	// slowness is measured time over the initial estimate's, so that hardware
+	// generations with different configured speeds compare.
+	slowness float64
+	samples  int
+}
+
+func newSpeed(now time.Time, t Target) speed {
+	prefill, decode := t.PrefillTokensPerSecond, t.DecodeTokensPerSecond
+	known := prefill > 0
+	if prefill <= 0 {
+		prefill = defaultPrefill
+	}
+	if decode <= 0 {
+		decode = defaultDecode
+	}
+	base := firstTokenOverhead.Seconds()
+	s := speed{
+		firstToken: newFit(point{0, base}, point{priorTokens, base + priorTokens/prefill}),
+		interval:   newFit(point{1, 1 / decode}, point{priorBatch, priorBatchSlowdown / decode}),
+		known:      known,
+		measured:   now,
+		slowness:   1,
+	}
+	s.refresh()
+	return s
+}
+
+func (s *speed) refresh() {
+	s.base, s.perToken = s.firstToken.line()
+	s.intervalBase, s.perSlot = s.interval.line()
+}
+
+// observe learns from a served request and returns its time over the initial
+// estimate. wait is the part of the first token's time that was predicted to be
+// spent behind other prompts.
+func (s *speed) observe(now time.Time, c Completion, wait time.Duration, batch int) float64 {
+	uncached := float64(max(0, c.PromptTokens-c.CachedTokens))
+	first := c.FirstToken.Seconds()
+	expected := s.priorSeconds(uncached, c.OutputTokens, batch)
+	if first > 0 {
+		// A wait that was predicted too long must not make the target look instant.
+		s.firstToken.add(uncached, math.Max(first-wait.Seconds(), first/4))
+	}
+	if interval, ok := tokenInterval(c); ok {
+		s.interval.add(float64(batch), interval.Seconds())
+	}
+	s.refresh()
+	s.known = true
+	s.measured = now
+	s.samples++
+	ratio := (c.Total.Seconds() - math.Min(wait.Seconds(), first)) / expected
+	s.slowness += slownessWeight * (ratio - s.slowness)
+	return ratio
+}
+
+// forgetSlowness has an ejected target judged anew after its probe.
+func (s *speed) forgetSlowness() {
+	s.slowness, s.samples = 1, 0
+}
+
+// priorSeconds is the whole time of a request by the initial estimate.
+func (s *speed) priorSeconds(uncached float64, output, batch int) float64 {
+	p, d := s.firstToken.prior, s.interval.prior
+	first := p[0].y + (p[1].y-p[0].y)*uncached/priorTokens
+	step := d[0].y + (d[1].y-d[0].y)*float64(batch)/priorBatch
+	return first + step*float64(output)
+}
+
+// firstTokenSeconds estimates the prefill of uncached prompt tokens.
+func (s *speed) firstTokenSeconds(uncached int) float64 {
+	return s.base + s.perToken*float64(uncached)
+}
+
+// decodeSeconds estimates the time of the output tokens in a batch of the given size.
+func (s *speed) decodeSeconds(tokens, batch int) float64 {
+	return float64(tokens) * (s.intervalBase + s.perSlot*float64(batch))
+}
+
+// trust scales the estimates that a refusal rests on: 0 if no speed is known,
+// and less with the time since the last measurement.
+func (s *speed) trust(now time.Time) float64 {
+	if !s.known {
+		return 0
+	}
+	return math.Exp2(-now.Sub(s.measured).Seconds() / staleEstimate.Seconds())
+}
+
+// tokenInterval is the mean time between the output tokens of a request.
+func tokenInterval(c Completion) (time.Duration, bool) {
+	if c.OutputTokens < 2 || c.FirstToken <= 0 || c.Total <= c.FirstToken {
+		return 0, false
+	}
+	return (c.Total - c.FirstToken) / time.Duration(c.OutputTokens-1), true
+}
+
+// objective returns the time between tokens that the target is held to. A
+// target that exceeds the group's objective even alone would be limited to one
+// request at a time and its batching wasted; it is held to its own speed.
+func (s *speed) objective(group time.Duration) time.Duration {
+	return max(group, seconds(priorBatchSlowdown*(s.intervalBase+s.perSlot)))
+}
+
+// Parameters of the concurrency limit.
+const (
+	// maxConcurrency bounds the limit of a target that configures none.
+	maxConcurrency = 256
+	// limitStep and limitBackoff place the limit where about one request in
+	// twenty exceeds the objective: 0.1% up for each one within it, 1.9% down
+	// for each one beyond.
+	limitStep    = 0.001
+	limitBackoff = 0.019
+	// limitHeadroom speeds up the growth by the square of the headroom below
+	// the objective, which is small near it: 2.5% a request at half the objective.
+	limitHeadroom = 0.1
+	// limitInUse is the part of the limit that must be in use for a request
+	// within the objective to raise it.
+	limitInUse = 0.75
+)
+
+// limiter adapts the concurrency of a target to the objective for the time between tokens.
+type limiter struct {
+	value   float64
+	ceiling float64
+}
+
+func newLimiter(configured int) limiter {
+	if configured > 0 {
+		return limiter{value: float64(configured), ceiling: float64(configured)}
+	}
+	return limiter{value: DefaultConcurrency, ceiling: maxConcurrency}
+}
+
+func (l *limiter) limit() int { return max(1, int(l.value)) }
+
+func (l *limiter) observe(interval, objective time.Duration, batch int) {
+	if interval > objective {
+		l.value = math.Max(1, l.value*(1-limitBackoff))
+		return
+	}
+	if float64(batch) >= limitInUse*l.value {
+		headroom := 1 - interval.Seconds()/objective.Seconds()
+		l.value = math.Min(l.ceiling, l.value*(1+limitStep+limitHeadroom*headroom*headroom))
+	}
+}
--- /dev/null
+++ b/scheduler/target.go
@@ -0,0 +1,256 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of the count of a target's load.
+const (
+	// historyLength bounds the remembered changes of a target's own count. A
+	// report that is older than all of them is compared with the oldest.
+	historyLength = 64
+	// grantTransit is the time from a grant until the target can count the
+	// request; a report that is younger by less does not include it.
+	grantTransit = 100 * time.Millisecond
+	// reportValidity is how long a load report counts.
+	reportValidity = 10 * time.Second
+)
+
+// targetState is what the group knows of one target.
+type targetState struct {
+	Target
+	// removed targets are kept until their last request ends.
+	removed bool
+	// running counts the group's own grants in use.
+	running int
+	// foreign counts the work on the target that this group did not start.
+	foreign  int
+	reported time.Time
+	history  []change
+	// prefillEnd is the estimated end of the prompts granted so far.
+	prefillEnd time.Time
+	speed      speed
+	limiter    limiter
+	health     health
+	index      *prefixIndex
+	hanging    bool
+	// alone is set while a suspect runs here with nothing beside it.
+	alone bool
+	// reserved is the waiting suspect for which the target drains.
+	reserved *waiting
+	refs     []setRef
+}
+
+// change is one change of a target's own count.
+type change struct {
+	at time.Time
+	// running is the count after the change by delta.
+	running, delta int
+	// prefill is the prompt time that a grant added.
+	prefill time.Duration
+}
+
+// versionSet holds the targets of one version ("" holds all). Open targets can
+// take a grant now.
+type versionSet struct {
+	members []*targetState
+	open    []*targetState
+	// base and perToken are optimistic bounds of the first token's time over
+	// the members, in seconds.
+	base, perToken float64
+}
+
+// setRef is a target's place in a version set; position is -1 while it is not open.
+type setRef struct {
+	set      *versionSet
+	position int
+}
+
+func newTargetState(now time.Time, t Target, shared holders) *targetState {
+	s := &targetState{Target: t, speed: newSpeed(now, t), limiter: newLimiter(t.Concurrency)}
+	s.index = newPrefixIndex(s, shared)
+	return s
+}
+
+// load is the number of requests believed to be on the target.
+func (s *targetState) load(now time.Time) int {
+	if now.Sub(s.reported) > reportValidity {
+		return s.running
+	}
+	return s.running + s.foreign
+}
+
+func (s *targetState) canOpen(now time.Time) bool {
+	return !s.removed && !s.Leaving && !s.alone && s.reserved == nil &&
+		s.health.state == HealthGood && s.load(now) < s.limiter.limit()
+}
+
+func (s *targetState) started(now time.Time, prefill time.Duration) {
+	s.running++
+	s.prefillEnd = later(s.prefillEnd, now).Add(prefill)
+	s.remember(change{now, s.running, 1, prefill})
+}
+
+func (s *targetState) ended(now time.Time) {
+	s.running--
+	if s.running == 0 && s.prefillEnd.After(now) {
+		// All prompts are done, earlier than estimated.
+		s.prefillEnd = now
+	}
+	s.remember(change{now, s.running, -1, 0})
+}
+
+func (s *targetState) remember(c change) {
+	if len(s.history) == historyLength {
+		// Half at a time, so that the copy is rare.
+		s.history = append(s.history[:0], s.history[historyLength/2:]...)
+	}
+	s.history = append(s.history, c)
+}
+
+// observeLoad corrects the counts by a report. Only the difference between the
+// report and the group's own count at the time of the report is taken over, so
+// a lagging report erases no later grant.
+func (s *targetState) observeLoad(now time.Time, r LoadReport) {
+	if r.AsOf.Before(s.reported) || now.Sub(r.AsOf) > reportValidity {
+		return
+	}
+	s.reported = r.AsOf
+	s.foreign = max(0, r.Running+r.Waiting-s.runningAt(r.AsOf))
+	s.correctPrefill(now, r)
+	s.index.setCacheBlocks(r.CacheTotalBlocks)
+}
+
+// runningAt returns the largest own count that the target can have seen at the
+// given time. The largest is taken over the transit time, because a grant or an
+// end that is under way must not pass as another group's work.
+func (s *targetState) runningAt(at time.Time) int {
+	if len(s.history) == 0 {
+		return s.running
+	}
+	most := s.history[0].running - s.history[0].delta
+	for _, c := range s.history {
+		switch {
+		case c.at.After(at):
+			return most
+		case c.at.After(at.Add(-grantTransit)):
+			most = max(most, c.running)
+		default:
+			most = c.running
+		}
+	}
+	return most
+}
+
+func (s *targetState) correctPrefill(now time.Time, r LoadReport) {
+	end := r.AsOf.Add(seconds(s.speed.perToken * float64(r.QueuedPrefillTokens)))
+	for _, c := range s.history {
+		if c.at.After(r.AsOf.Add(-grantTransit)) {
+			end = later(end, c.at).Add(c.prefill)
+		}
+	}
+	s.prefillEnd = later(end, now)
+}
+
+func (s *targetState) hasVersion(version string) bool {
+	return version == "" || slices.Contains(s.Versions, version)
+}
+
+// setSpeeds recomputes the optimistic bounds of the set.
+func (v *versionSet) setSpeeds(now time.Time) {
+	v.base, v.perToken = math.Inf(1), math.Inf(1)
+	for _, s := range v.members {
+		trust := s.speed.trust(now)
+		v.base = math.Min(v.base, trust*s.speed.base)
+		v.perToken = math.Min(v.perToken, trust*s.speed.perToken)
+	}
+}
+
+// firstToken is the least time in which any member could give a first token.
+func (v *versionSet) firstToken(uncached int) time.Duration {
+	if len(v.members) == 0 {
+		return 0
+	}
+	return seconds(v.base + v.perToken*float64(uncached))
+}
+
+// rebuildSets assigns the targets to version sets anew. Sets keep their
+// identity, because classes of waiting tickets refer to them.
+func (g *Group) rebuildSets(now time.Time) {
+	for _, set := range g.sets {
+		set.members, set.open = nil, nil
+	}
+	for _, s := range g.order {
+		s.refs = nil
+		if s.removed || s.Leaving {
+			continue
+		}
+		g.addMember(s, "")
+		for _, version := range s.Versions {
+			if version != "" {
+				g.addMember(s, version)
+			}
+		}
+		g.refreshOpenAt(now, s)
+	}
+	for _, set := range g.sets {
+		set.setSpeeds(now)
+	}
+}
+
+func (g *Group) addMember(s *targetState, version string) {
+	set := g.set(version)
+	if slices.ContainsFunc(s.refs, func(r setRef) bool { return r.set == set }) {
+		return
+	}
+	set.members = append(set.members, s)
+	s.refs = append(s.refs, setRef{set: set, position: -1})
+}
+
+func (g *Group) set(version string) *versionSet {
+	set, ok := g.sets[version]
+	if !ok {
+		set = &versionSet{}
+		g.sets[version] = set
+	}
+	return set
+}
+
+// refreshOpen enters a target into the open lists of its sets or takes it out,
+// as of the time of the last call of the group.
+func (g *Group) refreshOpen(s *targetState) { g.refreshOpenAt(g.now, s) }
+
+func (g *Group) refreshOpenAt(now time.Time, s *targetState) {
+	open := s.canOpen(now)
+	for i := range s.refs {
+		ref := &s.refs[i]
+		switch {
+		case open && ref.position < 0:
+			ref.position = len(ref.set.open)
+			ref.set.open = append(ref.set.open, s)
+		case !open && ref.position >= 0:
+			ref.set.closeAt(ref.position)
+			ref.position = -1
+		}
+	}
+}
+
+// closeAt removes an open target by moving the last one into its place.
+func (v *versionSet) closeAt(position int) {
+	last := len(v.open) - 1
+	moved := v.open[last]
+	v.open[position] = moved
+	v.open[last] = nil
+	v.open = v.open[:last]
+	for i := range moved.refs {
+		if moved.refs[i].set == v {
+			moved.refs[i].position = position
+		}
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/scheduler/tick.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// sweepInterval is the time between the checks that visit every target and request.
+const sweepInterval = time.Second
+
+// Tick makes the decisions that depend on time alone. The broker calls it
+// several times a second.
+func (g *Group) Tick(now time.Time) []Decision {
+	g.now = now
+	g.reclaimUnused(now)
+	for _, s := range g.order {
+		g.openForProbe(now, s)
+	}
+	if now.Sub(g.swept) >= sweepInterval {
+		g.swept = now
+		g.sweep(now)
+	}
+	decisions := g.decide(now)
+	if request, ok := g.floor.renew(now); ok {
+		decisions = append(decisions, request)
+	}
+	return decisions
+}
+
+// decide makes all decisions that are due: grants first, then the
+// cancellations and refusals that the remaining tickets need.
+func (g *Group) decide(now time.Time) []Decision {
+	decisions := g.schedule(now)
+	decisions = g.cancelForUrgent(now, decisions)
+	decisions = g.refuseLate(now, decisions)
+	return g.shed(now, decisions)
+}
+
+func (g *Group) openForProbe(now time.Time, s *targetState) {
+	before := s.health.state
+	s.health.advance(now)
+	if before != HealthHalfOpen && s.health.state == HealthHalfOpen {
+		g.halfOpen = append(g.halfOpen, s)
+	}
+}
+
+// reclaimUnused takes back the grants whose validity ended without a dispatch.
+func (g *Group) reclaimUnused(now time.Time) {
+	n := 0
+	for _, r := range g.grants {
+		if !now.After(r.granted.Add(GrantValidity)) {
+			break
+		}
+		n++
+		if g.running[r.ticket.ID] == r && !r.dispatched {
+			g.reclaim(now, r)
+		}
+	}
+	clear(g.grants[:n])
+	g.grants = g.grants[n:]
+}
+
+func (g *Group) sweep(now time.Time) {
+	g.releaseOrphans(now)
+	for id, r := range g.reclaimed {
+		if now.Sub(r.reclaimed) > reclaimMemory {
+			delete(g.reclaimed, id)
+		}
+	}
+	g.quarantine.Expire(now)
+	g.ejectHanging(now)
+	g.ejectSlow(now)
+	g.queue.prune()
+	g.pruneSets()
+	for _, set := range g.sets {
+		set.setSpeeds(now)
+	}
+	for _, s := range g.order {
+		g.refreshOpen(s)
+	}
+	g.capacity.count(g.order)
+	g.capacity.rotate(now)
+}
+
+// releaseOrphans frees the slots of requests whose entry did not return.
+func (g *Group) releaseOrphans(now time.Time) {
+	for _, r := range g.running {
+		if !r.orphaned.IsZero() && now.Sub(r.orphaned) > orphanGrace {
+			g.probeEnded(r)
+			g.stop(now, r)
+		}
+	}
+}
+
+// pruneSets drops the sets of versions that no target has and no class refers to.
+func (g *Group) pruneSets() {
+	referred := make(map[*versionSet]bool)
+	for _, tier := range g.queue.tiers {
+		for _, c := range tier.classes {
+			referred[c.set] = true
+		}
+	}
+	for version, set := range g.sets {
+		if len(set.members) == 0 && !referred[set] {
+			delete(g.sets, version)
+		}
+	}
+}
