Entry: claims of non-idempotent calls; broker: shed floor and quarantine hooks

Cause: a non-idempotent call must run at most once through any instance, and groups must tell each other of floors and of requests that crash targets. Ruled out: cancelling a claimed call with its caller, because its answer would be lost for the repeated call; it runs on and its answer is stored. Conclusion: the claim is written immediately before the first dispatch and ends before the caller gets its answer.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -30,7 +30,7 @@
 	f := &fakeFleet{owner: names[0], managers: map[string]*Manager{}, cancels: map[string]context.CancelFunc{}}
 	for _, name := range names {
 		managerCtx, cancel := context.WithCancel(ctx)
-		f.managers[name] = NewManager(managerCtx, name, f, f, f, zap.NewNop())
+		f.managers[name] = NewManager(managerCtx, name, f, f, f, Hooks{}, zap.NewNop())
 		f.cancels[name] = cancel
 	}
 	return f
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -30,11 +33,21 @@
 	Weight(workspace string) float64
 }
 
+// Hooks connect the groups with the rest of the fleet. Nil hooks do nothing.
+type Hooks struct {
+	// AskFloor asks the broker of a sibling group to shut out the tiers above
+	// highest. A nil error is its acknowledgement.
+	AskFloor func(ctx context.Context, sibling GroupKey, from int, highest scheduler.Rank, valid time.Duration) error
+	// Quarantined tells the other instances of suspects and quarantined requests.
+	Quarantined func([]scheduler.QuarantineEntry)
+}
+
 // Manager runs the groups that this instance owns.
 type Manager struct {
 	self     string
 	resolver Resolver
 	source   Source
+	hooks    Hooks
 	log      *zap.Logger
 
 	mu      sync.Mutex
@@ -45,11 +58,12 @@
 }
 
 // NewManager returns a Manager whose groups stop when ctx ends.
-func NewManager(ctx context.Context, self string, resolver Resolver, source Source, reports Reports, log *zap.Logger) *Manager {
+func NewManager(ctx context.Context, self string, resolver Resolver, source Source, reports Reports, hooks Hooks, log *zap.Logger) *Manager {
 	return &Manager{
 		self:     self,
 		resolver: resolver,
 		source:   source,
+		hooks:    hooks,
 		log:      log,
 		runners:  make(map[GroupKey]*runner),
 		ctx:      ctx,
@@ -103,6 +117,7 @@
 		sessions: make(map[entryKey]*Session),
 		versions: make(map[string][]string),
 		weight:   m.source.Weight,
+		hooks:    m.hooks,
 		log:      m.log.With(zap.Stringer("group", key)),
 		done:     make(chan struct{}),
 		cancel:   cancel,
@@ -137,6 +152,68 @@
 	}
 }
 
+// AcceptFloor shuts out the tiers above highest in a group on behalf of a
+// sibling. It returns a *NotOwnerError if this instance does not run the group.
+func (m *Manager) AcceptFloor(ctx context.Context, key GroupKey, from int, highest scheduler.Rank, valid time.Duration) error {
+	m.mu.Lock()
+	r, ok := m.runners[key]
+	m.mu.Unlock()
+	if !ok {
+		return &NotOwnerError{Key: key}
+	}
+	done := make(chan struct{})
+	err := r.post(ctx, func(now time.Time) []scheduler.Decision {
+		defer close(done)
+		return r.group.AcceptFloor(now, from, highest, valid)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// SetQuarantined gives all groups what other instances know of crashing requests.
+func (m *Manager) SetQuarantined(entries []scheduler.QuarantineEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.runners {
+		select {
+		case r.events <- func(now time.Time) []scheduler.Decision { return r.group.SetQuarantined(now, entries) }:
+		default: // repeated with the next change of the facts or refresh
+		}
+	}
+}
+
+// Snapshot returns the state of the targets of all groups that this instance runs.
+func (m *Manager) Snapshot(ctx context.Context) []scheduler.TargetStatus {
+	m.mu.Lock()
+	runners := slices.Collect(maps.Values(m.runners))
+	m.mu.Unlock()
+	var all []scheduler.TargetStatus
+	for _, r := range runners {
+		status := make(chan []scheduler.TargetStatus, 1)
+		err := r.post(ctx, func(time.Time) []scheduler.Decision {
+			status <- r.group.Snapshot()
+			return nil
+		})
+		if err != nil {
+			continue // the group has stopped
+		}
+		select {
+		case s := <-status:
+			all = append(all, s...)
+		case <-r.done:
+		case <-ctx.Done():
+		}
+	}
+	return all
+}
+
 // Wait blocks until all groups have stopped.
 func (m *Manager) Wait() { m.wg.Wait() }
 
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -17,6 +17,8 @@
 	tickPeriod   = 20 * time.Millisecond
 	// maxBatch bounds the events that are handled before decisions go out.
 	maxBatch = 128
+	// floorTimeout bounds the wait for a sibling's acknowledgement.
+	floorTimeout = 500 * time.Millisecond
 )
 
 // event is handled by the runner's goroutine and returns decisions.
@@ -33,9 +35,12 @@
 	targets  []scheduler.Target
 	versions map[string][]string
 	weight   func(workspace string) float64
-	log      *zap.Logger
-	done     chan struct{}
-	cancel   context.CancelFunc
+	hooks    Hooks
+	// died is set by a completion that may have changed the quarantine.
+	died   bool
+	log    *zap.Logger
+	done   chan struct{}
+	cancel context.CancelFunc
 }
 
 type entryKey struct {
@@ -59,9 +64,48 @@
 			decisions = r.group.Tick(time.Now())
 		}
 		r.deliver(time.Now(), decisions)
+		r.askFloors(ctx, decisions)
+		r.tellQuarantine()
 	}
 }
 
+// askFloors sends the group's floor requests to the siblings.
+func (r *runner) askFloors(ctx context.Context, decisions []scheduler.Decision) {
+	for _, d := range decisions {
+		request, ok := d.(scheduler.FloorRequest)
+		if !ok || r.hooks.AskFloor == nil {
+			continue
+		}
+		for _, shard := range request.Siblings {
+			go r.askFloor(ctx, shard, request)
+		}
+	}
+}
+
+func (r *runner) askFloor(ctx context.Context, shard int, request scheduler.FloorRequest) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	sibling := GroupKey{Pool: r.key.Pool, Shard: shard}
+	err := r.hooks.AskFloor(call, sibling, r.key.Shard, request.Highest, request.ValidFor)
+	_ = r.post(ctx, func(now time.Time) []scheduler.Decision {
+		if err != nil {
+			return r.group.SetSiblingReachable(now, shard, false)
+		}
+		decisions := r.group.SetSiblingReachable(now, shard, true)
+		valid := request.ValidFor - now.Sub(asked)
+		return append(decisions, r.group.FloorAcked(now, shard, request.Highest, valid)...)
+	})
+}
+
+func (r *runner) tellQuarantine() {
+	if !r.died || r.hooks.Quarantined == nil {
+		return
+	}
+	r.died = false
+	r.hooks.Quarantined(r.group.Quarantined(time.Now()))
+}
+
 // batch handles the event and those that wait behind it, so that entries get
 // few messages with many records.
 func (r *runner) batch(first event) []scheduler.Decision {
@@ -157,6 +201,7 @@
 			r.group.Dispatched(now, ticketID(s.hello, sequence))
 		}
 		for _, c := range m.GetComplete() {
+			r.died = r.died || c.GetResult() == pb.Result_RESULT_TARGET_DIED
 			decisions = append(decisions, r.group.Complete(now, toCompletion(s.hello, c))...)
 		}
 		for _, sequence := range m.GetWithdraw() {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -120,6 +121,10 @@
 }
 
 func (e *Entry) admitService(snapshot *config.Snapshot, r *http.Request, req *request) *Ending {
+	if path.Clean(r.URL.Path) != strings.TrimSuffix(r.URL.Path, "/") && r.URL.Path != "/" {
+		// A service may resolve dot segments to a path of another route.
+		return refuse(http.StatusBadRequest, ReasonMalformed, "the path has empty or dot segments")
+	}
 	route := snapshot.RouteForPath(r.URL.Path)
 	if ending := e.bindRoute(snapshot, req, route); ending != nil {
 		return ending
--- a/entry/claimed.go
+++ b/entry/claimed.go
@@ -3,11 +3,155 @@
 import (
 	"context"
 	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/claims"
 )
 
 // Claims records which non-idempotent calls have been dispatched.
-type Claims interface{}
+type Claims interface {
+	Begin(ctx context.Context, request claims.Request) (claims.Begun, error)
+	Finish(ctx context.Context, claim *claims.Claim, result claims.Result) error
+	MarkUnknown(ctx context.Context, claim *claims.Claim) error
+	Abandon(ctx context.Context, claim *claims.Claim) error
+}
+
+// claimTimeout bounds the writes that end a claim. The caller waits for them,
+// so that a repeated call finds the stored answer.
+const claimTimeout = 2 * time.Second
+
+// claimGuard claims a call before its first dispatch. Later attempts, made
+// while no byte of the call has been written, use the same claim.
+type claimGuard struct {
+	entry *Entry
+	req   *request
+	claim *claims.Claim
+	// stored is the answer of an earlier call with the same key.
+	stored *claims.Result
+}
+
+func (g *claimGuard) begin(ctx context.Context) *Ending {
+	if g.claim != nil {
+		return nil
+	}
+	begun, err := g.entry.settings.Claims.Begin(ctx, claims.Request{
+		Key: claims.Key{
+			Workspace: g.req.workspace.GetName(),
+			Route:     g.req.route.GetName(),
+			Caller:    g.req.key,
+		},
+		Fingerprint: g.req.fingerprint,
+		Timeout:     responseTimeout(g.req.route),
+	})
+	if err != nil {
+		g.entry.settings.Log.Warn("claim not acquired", zap.String("request_id", g.req.id),
+			zap.Stringer("outcome", begun.Outcome), zap.Error(err))
+	}
+	switch begun.Outcome {
+	case claims.Acquired:
+		g.claim = begun.Claim
+		return nil
+	case claims.Stored:
+		g.stored = &begun.Result
+		return &Ending{Outcome: Served, Reason: ReasonStored, Status: begun.Result.Status}
+	default:
+		return claimEnding(begun.Outcome)
+	}
+}
+
+func claimEnding(outcome claims.Outcome) *Ending {
+	switch outcome {
+	case claims.InProgress:
+		return &Ending{
+			Outcome:    Unknown,
+			Reason:     ReasonInProgress,
+			Status:     http.StatusConflict,
+			Message:    "a call with this key is running",
+			RetryAfter: time.Second,
+		}
+	case claims.KeyReused:
+		return refuse(http.StatusUnprocessableEntity, ReasonKeyReused, "the key was used for a different request")
+	case claims.Refused:
+		return refuse(http.StatusServiceUnavailable, ReasonStoreDown, "the call could not be recorded, so it was not run")
+	default:
+		return unknownResult()
+	}
+}
+
+func unknownResult() *Ending {
+	return &Ending{
+		Outcome: Unknown,
+		Reason:  ReasonResultUnknown,
+		Status:  http.StatusBadGateway,
+		Message: "a call with this key may have run; its result is not known",
+	}
+}
+
+// serveClaimed serves a non-idempotent call.
+func (e *Entry) serveClaimed(ctx context.Context, out *responder, req *request) *Ending {
+	guard := &claimGuard{entry: e, req: req}
+	out.hold = true
+	ending := e.serveOnce(ctx, out, req, guard)
+	if guard.stored != nil {
+		header := http.Header{HeaderReason: {string(ReasonStored)}}
+		if guard.stored.ContentType != "" {
+			header.Set("Content-Type", guard.stored.ContentType)
+		}
+		out.hold = false
+		out.whole(guard.stored.Status, header, guard.stored.Body)
+		return nil
+	}
+	if guard.claim == nil {
+		return ending
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	return e.concludeClaim(ctx, out, guard.claim, ending)
+}
+
+// concludeClaim records how a claimed call ended.
+func (e *Entry) concludeClaim(ctx context.Context, out *responder, claim *claims.Claim, ending *Ending) *Ending {
+	switch {
+	case ending == nil:
+		err := e.settings.Claims.Finish(ctx, claim, claims.Result{
+			Status:      out.held.status,
+			ContentType: out.held.header.Get("Content-Type"),
+			Body:        out.held.body,
+		})
+		if err != nil {
+			// The caller still gets its answer; a repeated call will be told
+			// that the result is unknown.
+			e.settings.Log.Error("answer of a claimed call not stored",
+				zap.String("request_id", out.req.id), zap.Error(err))
+		}
+		out.release()
+		return nil
+	case ending.Outcome == NotRun:
+		if err := e.settings.Claims.Abandon(ctx, claim); err != nil {
+			return unknownResult()
+		}
+		return ending
+	default:
+		if err := e.settings.Claims.MarkUnknown(ctx, claim); err != nil {
+			e.settings.Log.Warn("claim not marked unknown", zap.String("request_id", out.req.id), zap.Error(err))
+		}
+		unknown := unknownResult()
+		unknown.Message += ": " + ending.Message
+		return unknown
+	}
+}
+
+// heldAnswer is the answer of a claimed call that is stored before it is sent.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
 
-func (e *Entry) serveClaimed(_ context.Context, _ *responder, _ *request) *Ending {
-	return refuse(http.StatusServiceUnavailable, ReasonStoreDown, "claims are not available")
+// release sends the held answer.
+func (o *responder) release() {
+	o.hold = false
+	o.whole(o.held.status, o.held.header, o.held.body)
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -110,6 +110,10 @@
 		r.call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
 		return ending, false
 	}
+	if r.req.route.GetNonIdempotent() {
+		// The answer is stored for a repeated call even if this caller goes away.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("basilloom.target", r.target.Name)))
 	defer span.End()
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -108,12 +108,19 @@
 // relayBody delivers a small answer as one piece and copies a large one. An
 // error status of a plain service is its answer and passed on.
 func relayBody(out *responder, resp *http.Response) error {
-	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
+	limit := int64(maxHeldAnswer)
+	if out.hold {
+		limit = engine.MaxAnswerBytes // the answer of a claimed call is always held
+	}
+	held, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return bodyError(err)
 	}
 	header := engine.CopyHeader(resp.Header)
-	if len(held) < maxHeldAnswer {
+	if out.hold && int64(len(held)) == limit {
+		return &engine.AnswerError{Kind: engine.AnswerMalformed, Detail: "answer exceeds the size limit"}
+	}
+	if int64(len(held)) < limit {
 		out.whole(resp.StatusCode, header, held)
 		return nil
 	}
--- a/entry/responder.go
+++ b/entry/responder.go
@@ -17,6 +17,9 @@
 	firstToken time.Duration
 	tokens     int
 	buffer     []byte
+	// hold keeps a whole answer in held instead of sending it.
+	hold bool
+	held heldAnswer
 }
 
 // beginStream sends the header of a streamed chat answer.
@@ -50,6 +53,10 @@
 
 // whole sends an answer that is held in memory.
 func (o *responder) whole(status int, header http.Header, body []byte) {
+	if o.hold {
+		o.held = heldAnswer{status: status, header: header, body: body}
+		return
+	}
 	h := o.w.Header()
 	for name, values := range header {
 		h[name] = values
