config: check the size of the example deployments in their test

The examples stand for the deployments of today, so a worker that is dropped by an edit would make later measurements incomparable. The test now compares the numbers of targets, regions, tiers, workspaces, routes and moves.

--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -22,8 +22,9 @@
 	overtaken
 )
 
-// fakeStore is a table with one row and an object store.
+// fakeStore is a table with one row, of which only Get and Put work, and an object store.
 type fakeStore struct {
+	platform.Table
 	mu      sync.Mutex
 	row     platform.Row
 	objects map[string][]byte
@@ -115,14 +116,6 @@
 	return f.row, nil
 }
 
-func (f *fakeStore) Delete(context.Context, platform.Key, int64) error {
-	return platform.ErrUnavailable
-}
-
-func (f *fakeStore) List(context.Context, string) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
-}
-
 // fakeObjects is the object side of a fakeStore.
 type fakeObjects struct{ *fakeStore }
 
--- a/config/merge_test.go
+++ b/config/merge_test.go
@@ -134,12 +134,11 @@
 
 // Guards against examples that operators cannot apply.
 func TestExamplesAreValid(t *testing.T) {
-	for _, name := range []string{"plumage-box", "clearwater"} {
+	for name, targets := range map[string]int{"plumage-box": 9 + 3, "clearwater": 12 + 3} {
 		config, err := Read(os.DirFS("../examples/"+name), testNow)
 		require.NoError(t, err, name)
-		require.Len(t, config.Moves, 1)
-		require.Len(t, config.Workspaces, 5)
-		require.Len(t, config.Regions, 2)
+		counts := []int{len(config.Targets), len(config.Regions), len(config.Tiers), len(config.Workspaces), len(config.Routes), len(config.Moves)}
+		require.Equal(t, []int{targets, 2, 5, 5, 5, 1}, counts, name)
 	}
 }
 
