Lose answers of failed conditions too

Cause: the stand-ins lost only answers of writes that took effect, so no test saw a writer lose a race together with its answer. Ruled out: the same for lose_next, which tests use to lose one answer of a write that took effect. Conclusion: lose_probability drops the answer of any evaluated write.

--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -33,7 +33,8 @@
 	LatencyMillis int64 `json:"latency_ms"`
 	// LoseNext drops the answers of the next writes that take effect.
 	LoseNext int `json:"lose_next"`
-	// LoseProbability drops the answer of a write that took effect, 0 to 1.
+	// LoseProbability drops the answer of a write, 0 to 1, also of a write whose
+	// condition failed.
 	LoseProbability float64 `json:"lose_probability"`
 	// WritesPerSecond and ReadsPerSecond limit the rate; 0 means the default.
 	WritesPerSecond float64 `json:"writes_per_second"`
@@ -115,11 +116,12 @@
 	}
 }
 
-// LoseAnswer reports whether the answer of a write that took effect is dropped.
-func (i *Injector) LoseAnswer() bool {
+// LoseAnswer reports whether the answer of a write is dropped. written tells
+// whether the write took effect.
+func (i *Injector) LoseAnswer(written bool) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.settings.LoseNext > 0 {
+	if written && i.settings.LoseNext > 0 {
 		i.settings.LoseNext--
 		return true
 	}
--- a/internal/standin/memtable/memtable.go
+++ b/internal/standin/memtable/memtable.go
@@ -48,10 +48,11 @@
 		return platform.Row{}, unavailable(err)
 	}
 	row := platform.Row{Key: key, Version: expect + 1, Value: slices.Clone(value)}
-	if !t.swap(key, expect, &row) {
-		return platform.Row{}, platform.ErrConflict
+	written := t.swap(key, expect, &row)
+	if err := t.answer(ctx, written); err != nil {
+		return platform.Row{}, err
 	}
-	return row, t.answer(ctx)
+	return row, nil
 }
 
 // Delete removes the row if its version equals expect.
@@ -59,10 +60,8 @@
 	if err := t.Faults.Before(ctx, true); err != nil {
 		return unavailable(err)
 	}
-	if expect == 0 || !t.swap(key, expect, nil) {
-		return platform.ErrConflict
-	}
-	return t.answer(ctx)
+	written := expect != 0 && t.swap(key, expect, nil)
+	return t.answer(ctx, written)
 }
 
 // List returns the rows of the partition by sort key.
@@ -113,14 +112,18 @@
 	return rows
 }
 
-// answer returns ErrUnknown if the answer of a write that took effect is lost.
-func (t *Table) answer(ctx context.Context) error {
-	if t.Faults.LoseAnswer() {
+// answer returns the error of a write whose condition was evaluated, which is
+// ErrUnknown if the answer is lost.
+func (t *Table) answer(ctx context.Context, written bool) error {
+	if t.Faults.LoseAnswer(written) {
 		return fmt.Errorf("%w: injected", platform.ErrUnknown)
 	}
 	if err := t.Faults.Delay(ctx); err != nil {
 		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
 	}
+	if !written {
+		return platform.ErrConflict
+	}
 	return nil
 }
 
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	s.objects[r.PathValue("name")] = data
 	s.mu.Unlock()
-	if s.Faults.LoseAnswer() {
+	if s.Faults.LoseAnswer(true) {
 		// Closes the connection without an answer.
 		panic(http.ErrAbortHandler)
 	}
