End the lease cost test between two renewals

Cause: TestCostOfAnHour failed in 1 of 8 runs with -race. Its context ended at the instant of a renewal, whose write was then cut and read back twice. Ruled out: a fault of the lease; a write cut by its context is unknown. Conclusion: the test ends one second before the hour and is stricter.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -188,13 +188,15 @@
 	}
 }
 
-// Reports what an hour of a held lease and of an observer costs.
+// Guards against a lease that takes more of the table's rate than planned.
+// Logs what an hour costs a holder and an observer.
 func TestCostOfAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := memtable.New(fault.Settings{})
 		holder := platform.NewSettled(table, platform.SettledSettings{})
 		observer := platform.NewSettled(table, platform.SettledSettings{})
-		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		// Ends between two renewals, so that no write is cut by the end.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour-time.Second)
 		defer cancel()
 		go func() {
 			time.Sleep(time.Second)
@@ -203,8 +205,7 @@
 		_ = lease.NewManager(holder, lease.Settings{Holder: "a"}).Run(ctx, name, func(ctx context.Context, _ *lease.Lease) { <-ctx.Done() })
 		synctest.Wait()
 		t.Logf("holder %+v, observer %+v", holder.Stats(), observer.Stats())
-		require.LessOrEqual(t, holder.Stats().Writes, int64(722))
-		require.LessOrEqual(t, holder.Stats().Reads, int64(1))
+		require.Equal(t, platform.Stats{Reads: 1, Writes: 721}, holder.Stats())
 		require.LessOrEqual(t, observer.Stats().Reads, int64(721))
 	})
 }
