Add claims of calls that must not run twice

Cause: a call that a caller repeats with the same idempotency key must run at most once, across entries and through outages of the table service. Ruled out: reading the row before the first write, because a new key then costs a read more. Storing a body over 256 KiB as an empty one: the row has no field to tell that, so a repeat would get a partial answer; such a claim is marked unknown and Finish returns ErrResultTooLarge. Reporting "refused" when another call's claim exists but cannot be read: that call may have run, so the outcome is unknown. Joining workspace and route unescaped: "a/b" + "c" and "a" + "b/c" would share their keys. Conclusion: Abandon is called once and its error means an unknown outcome.

--- /dev/null
+++ b/claims/claims.go
@@ -0,0 +1,258 @@
+// Package claims records calls that must not run twice as rows of the
+// platform's table service. A claim is written before the call is dispatched
+// and its answer is stored afterwards. Claims are not deleted, apart from
+// those whose call provably never started.
+package claims
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/platform"
+)
+
+const (
+	// MaxBodyBytes bounds a stored body; a row of the table service holds 400 KiB.
+	MaxBodyBytes = 256 << 10
+	// MaxKeyBytes bounds a caller's key; it is the service's limit of a sort key.
+	MaxKeyBytes = 1024
+	// maxPartitionBytes is the service's limit of a partition key.
+	maxPartitionBytes = 2048
+)
+
+// Errors of claims. Errors of the table are returned wrapped.
+var (
+	// ErrInvalidKey: the key is empty or too long. The call was not claimed.
+	ErrInvalidKey = errors.New("invalid idempotency key")
+	// ErrResultTooLarge: the body exceeds MaxBodyBytes; the claim is marked
+	// unknown, so that a repeated call never gets a partial answer.
+	ErrResultTooLarge = errors.New("result too large to be stored")
+)
+
+// Outcome is the answer of Begin.
+type Outcome int
+
+// Outcomes of Begin. Only Acquired permits a dispatch.
+const (
+	// Refused: the store could not be reached; this call is not run.
+	Refused Outcome = iota
+	// Acquired: the caller holds the claim and may dispatch once.
+	Acquired
+	// Stored: the call ran before; its result is returned.
+	Stored
+	// InProgress: another call with the key runs.
+	InProgress
+	// Unknown: a call with the key may have run; its result cannot be told.
+	Unknown
+	// KeyReused: the key was used for a different request.
+	KeyReused
+)
+
+var outcomeNames = [...]string{"refused", "acquired", "stored", "in progress", "unknown", "key reused"}
+
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("Outcome(%d)", int(o))
+	}
+	return outcomeNames[o]
+}
+
+// Key identifies a call: the caller's idempotency key within a workspace and route.
+type Key struct {
+	Workspace string
+	Route     string
+	Caller    string
+}
+
+// row escapes the workspace, so that its name and a route's slashes cannot
+// form the partition of another workspace.
+func (k Key) row() (platform.Key, error) {
+	row := platform.Key{Partition: "claim/" + url.PathEscape(k.Workspace) + "/" + k.Route, Sort: k.Caller}
+	if row.Sort == "" || len(row.Sort) > MaxKeyBytes || len(row.Partition) > maxPartitionBytes {
+		return row, fmt.Errorf("%w: the key must have 1 to %d bytes", ErrInvalidKey, MaxKeyBytes)
+	}
+	return row, nil
+}
+
+// Request describes the call to Begin.
+type Request struct {
+	Key Key
+	// Fingerprint is a hash of the request; it tells a repeated call from a
+	// different one with the same key.
+	Fingerprint uint64
+	// Timeout is the route's response timeout. A claim older than that is
+	// reported as Unknown instead of InProgress.
+	Timeout time.Duration
+}
+
+// Result is the stored answer of a call.
+type Result struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Claim is a held claim. It may be used for further attempts as long as no
+// byte of the request was written.
+type Claim struct {
+	key     platform.Key
+	row     *pb.ClaimRow
+	version int64
+}
+
+// Begun is the answer of Begin. Claim is set for Acquired and Result for Stored.
+type Begun struct {
+	Outcome Outcome
+	Claim   *Claim
+	Result  Result
+}
+
+// Store writes claims of one instance. It is safe for concurrent use.
+type Store struct {
+	table    platform.Table
+	instance string
+}
+
+// NewStore returns a store on the table, usually a platform.Settled.
+func NewStore(table platform.Table, instance string) *Store {
+	return &Store{table: table, instance: instance}
+}
+
+// Begin claims the call. The error explains Refused and Unknown; it is
+// ErrInvalidKey with Refused for a key that can never be claimed.
+func (s *Store) Begin(ctx context.Context, request Request) (Begun, error) {
+	key, err := request.Key.row()
+	if err != nil {
+		return Begun{Outcome: Refused}, err
+	}
+	row := &pb.ClaimRow{
+		State:       pb.ClaimState_CLAIM_STATE_RUNNING,
+		Instance:    s.instance,
+		Nonce:       rand.Text(),
+		Fingerprint: request.Fingerprint,
+		Begun:       timestamppb.Now(),
+	}
+	claim := &Claim{key: key, row: row}
+	err = s.write(ctx, claim, row)
+	switch {
+	case err == nil:
+		return Begun{Outcome: Acquired, Claim: claim}, nil
+	case errors.Is(err, platform.ErrConflict):
+		return s.existing(ctx, key, request)
+	case errors.Is(err, platform.ErrUnknown):
+		// The row may be another call's, which may have run.
+		if begun, readErr := s.existing(ctx, key, request); readErr == nil {
+			return begun, nil
+		}
+	}
+	// Nothing is dispatched. If the write takes effect after all, a repeated
+	// call is told Unknown, never that it may run.
+	return Begun{Outcome: Refused}, fmt.Errorf("begin claim: %w", err)
+}
+
+// existing reports the claim that another call holds.
+func (s *Store) existing(ctx context.Context, key platform.Key, request Request) (Begun, error) {
+	stored, err := s.table.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		// Its holder has abandoned it since; the caller may repeat the call.
+		return Begun{Outcome: Refused}, fmt.Errorf("claim was abandoned meanwhile: %w", err)
+	}
+	if err != nil {
+		// A call with this key may have run, so Refused could be wrong.
+		return Begun{Outcome: Unknown}, fmt.Errorf("read claim: %w", err)
+	}
+	row := &pb.ClaimRow{}
+	if err := proto.Unmarshal(stored.Value, row); err != nil {
+		return Begun{Outcome: Unknown}, fmt.Errorf("decode claim: %w", err)
+	}
+	if row.Fingerprint != request.Fingerprint {
+		return Begun{Outcome: KeyReused}, nil
+	}
+	switch row.State {
+	case pb.ClaimState_CLAIM_STATE_DONE:
+		result := Result{Status: int(row.Status), ContentType: row.ContentType, Body: row.Body}
+		return Begun{Outcome: Stored, Result: result}, nil
+	case pb.ClaimState_CLAIM_STATE_RUNNING:
+		// The clocks of two instances may differ; the answer is wrong by that
+		// much at most, and neither answer permits a dispatch.
+		if time.Since(row.Begun.AsTime()) < request.Timeout {
+			return Begun{Outcome: InProgress}, nil
+		}
+	}
+	return Begun{Outcome: Unknown}, nil
+}
+
+// Finish stores the result. It may be repeated after an error; until it
+// succeeds, repeated calls are told InProgress and later Unknown.
+func (s *Store) Finish(ctx context.Context, claim *Claim, result Result) error {
+	if len(result.Body) > MaxBodyBytes {
+		return errors.Join(ErrResultTooLarge, s.MarkUnknown(ctx, claim))
+	}
+	row := proto.CloneOf(claim.row)
+	row.State = pb.ClaimState_CLAIM_STATE_DONE
+	row.Status = int32(result.Status)
+	row.ContentType = result.ContentType
+	row.Body = result.Body
+	if err := s.write(ctx, claim, row); err != nil {
+		return fmt.Errorf("finish claim: %w", err)
+	}
+	return nil
+}
+
+// MarkUnknown records that the call may have run and that its result is lost.
+func (s *Store) MarkUnknown(ctx context.Context, claim *Claim) error {
+	row := proto.CloneOf(claim.row)
+	row.State = pb.ClaimState_CLAIM_STATE_UNKNOWN
+	if err := s.write(ctx, claim, row); err != nil {
+		return fmt.Errorf("mark claim unknown: %w", err)
+	}
+	return nil
+}
+
+// Abandon removes the claim of a call of which provably no byte was written.
+// After an error the outcome of the call is unknown. Abandon is called once:
+// a second delete could remove the claim of a later call with the same key.
+func (s *Store) Abandon(ctx context.Context, claim *Claim) error {
+	if err := s.table.Delete(ctx, claim.key, claim.version); err != nil {
+		return fmt.Errorf("abandon claim: %w", err)
+	}
+	return nil
+}
+
+// write stores the row at the claim's version. A write that is reported as
+// failed but is read back as stored succeeded: an earlier call of the same
+// kind may have taken effect after its answer was lost.
+func (s *Store) write(ctx context.Context, claim *Claim, row *pb.ClaimRow) error {
+	value, err := proto.Marshal(row)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	written, err := s.table.Put(ctx, claim.key, value, claim.version)
+	lost := errors.Is(err, platform.ErrUnknown)
+	repeated := claim.version > 0 && errors.Is(err, platform.ErrConflict)
+	if lost || repeated {
+		stored, readErr := s.table.Get(ctx, claim.key)
+		if readErr == nil && isStored(stored.Value, row) {
+			written, err = stored, nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	claim.version = written.Version
+	return nil
+}
+
+// isStored reports whether the value is the row. The nonce makes it unique.
+func isStored(value []byte, row *pb.ClaimRow) bool {
+	stored := &pb.ClaimRow{}
+	return proto.Unmarshal(value, stored) == nil && proto.Equal(stored, row)
+}
--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,221 @@
+package claims_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/basilloom/basilloom/claims"
+	"github.com/basilloom/basilloom/internal/standin/fault"
+	"github.com/basilloom/basilloom/internal/standin/memtable"
+	"github.com/basilloom/basilloom/internal/standin/table"
+	"github.com/basilloom/basilloom/platform"
+)
+
+const timeout = 10 * time.Second
+
+func request(key string) claims.Request {
+	return claims.Request{
+		Key:         claims.Key{Workspace: "w", Route: "/bookings", Caller: key},
+		Fingerprint: 7,
+		Timeout:     timeout,
+	}
+}
+
+func start(faults fault.Settings) (*memtable.Table, *platform.Settled, *claims.Store) {
+	table := memtable.New(faults)
+	settled := platform.NewSettled(table, platform.SettledSettings{})
+	return table, settled, claims.NewStore(settled, "i-1")
+}
+
+func requireOutcome(t *testing.T, store *claims.Store, r claims.Request, want claims.Outcome) claims.Begun {
+	t.Helper()
+	begun, _ := store.Begin(t.Context(), r)
+	require.Equal(t, want.String(), begun.Outcome.String())
+	return begun
+}
+
+// Guards against a call that runs again or gets another call's answer: each
+// state of a claim gives exactly one outcome. Logs reads and writes.
+func TestOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, settled, store := start(fault.Settings{})
+		begun := requireOutcome(t, store, request("k"), claims.Acquired)
+		requireOutcome(t, store, request("k"), claims.InProgress)
+		time.Sleep(timeout)
+		requireOutcome(t, store, request("k"), claims.Unknown)
+		result := claims.Result{Status: 201, ContentType: "text/plain", Body: []byte("booked")}
+		require.NoError(t, store.Finish(t.Context(), begun.Claim, result))
+		require.Equal(t, result, requireOutcome(t, store, request("k"), claims.Stored).Result)
+		other := request("k")
+		other.Fingerprint = 8
+		requireOutcome(t, store, other, claims.KeyReused)
+		t.Logf("one claim and 4 repeats: %+v", settled.Stats())
+
+		begun = requireOutcome(t, store, request("marked"), claims.Acquired)
+		require.NoError(t, store.MarkUnknown(t.Context(), begun.Claim))
+		requireOutcome(t, store, request("marked"), claims.Unknown)
+
+		begun = requireOutcome(t, store, request("abandoned"), claims.Acquired)
+		require.NoError(t, store.Abandon(t.Context(), begun.Claim))
+		requireOutcome(t, store, request("abandoned"), claims.Acquired)
+	})
+}
+
+// Guards against a large answer that is replayed without its body.
+func TestLargeResultIsUnknown(t *testing.T) {
+	_, _, store := start(fault.Settings{})
+	begun := requireOutcome(t, store, request("k"), claims.Acquired)
+	result := claims.Result{Status: 200, Body: bytes.Repeat([]byte("x"), claims.MaxBodyBytes+1)}
+	require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, result), claims.ErrResultTooLarge)
+	requireOutcome(t, store, request("k"), claims.Unknown)
+}
+
+// Guards against keys that the service refuses and against a route that forms
+// the key of another workspace.
+func TestKeys(t *testing.T) {
+	_, _, store := start(fault.Settings{})
+	for _, key := range []string{"", string(make([]byte, claims.MaxKeyBytes+1))} {
+		_, err := store.Begin(t.Context(), request(key))
+		require.ErrorIs(t, err, claims.ErrInvalidKey)
+	}
+	first, second := request("k"), request("k")
+	first.Key.Workspace, first.Key.Route = "a/b", "c"
+	second.Key.Workspace, second.Key.Route = "a", "b/c"
+	requireOutcome(t, store, first, claims.Acquired)
+	requireOutcome(t, store, second, claims.Acquired)
+}
+
+// Guards against lost answers and outages during Begin, Finish and Abandon that
+// make a call run twice, or that deny a claim which is held.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, _, store := start(fault.Settings{LoseNext: 1})
+		begun := requireOutcome(t, store, request("k"), claims.Acquired)
+		table.Faults.Set(fault.Settings{Outage: true})
+		requireOutcome(t, store, request("other"), claims.Refused)
+		result := claims.Result{Status: 200, Body: []byte("ok")}
+		require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, result), platform.ErrUnavailable)
+		require.Error(t, store.Abandon(t.Context(), begun.Claim))
+		table.Faults.Set(fault.Settings{LoseNext: 1})
+		requireOutcome(t, store, request("k"), claims.InProgress)
+		require.NoError(t, store.Finish(t.Context(), begun.Claim, result))
+		requireOutcome(t, store, request("k"), claims.Stored)
+	})
+}
+
+// Guards against a Finish that fails for ever after its answer was lost and
+// the read back failed too, and against a Begin that is refused although
+// another call holds the claim.
+func TestUnsettledTable(t *testing.T) {
+	table := memtable.New(fault.Settings{})
+	store := claims.NewStore(table, "i-1")
+	begun := requireOutcome(t, store, request("k"), claims.Acquired)
+	table.Faults.Set(fault.Settings{LoseNext: 1, ReadsPerSecond: 1e-9})
+	_, _ = table.Get(t.Context(), platform.Key{}) // uses the only read of the limit
+	require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200}), platform.ErrUnknown)
+	table.Faults.Set(fault.Settings{})
+	require.NoError(t, store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200}))
+
+	lost := claims.NewStore(lostConflicts{table}, "i-2")
+	requireOutcome(t, lost, request("k"), claims.Stored)
+}
+
+// lostConflicts loses the answer of a write whose condition failed.
+type lostConflicts struct{ platform.Table }
+
+func (l lostConflicts) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+	_, _ = l.Table.Put(ctx, key, value, expect)
+	return platform.Row{}, platform.ErrUnknown
+}
+
+// Guards against two entries that both dispatch a call with the same key, under
+// races, outages, slow calls, lost answers and abandoned claims.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 300), 2, 12).Draw(rt, "pauses")
+		abandon := rapid.SliceOfN(rapid.Bool(), len(pauses), len(pauses)).Draw(rt, "abandon")
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault.Settings {
+			return fault.Settings{
+				Outage:          rapid.IntRange(0, 5).Draw(t, "outage") == 5,
+				LatencyMillis:   rapid.SampledFrom([]int64{0, 10, 300, 900}).Draw(t, "latency"),
+				LoseProbability: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lose"),
+			}
+		}), 0, 10).Draw(rt, "faults")
+		var dispatched atomic.Int32
+		synctest.Test(t, func(t *testing.T) {
+			table := memtable.New(fault.Settings{})
+			var entries sync.WaitGroup
+			for i, pause := range pauses {
+				entries.Go(func() {
+					time.Sleep(time.Duration(pause) * time.Millisecond)
+					settled := platform.NewSettled(table, platform.SettledSettings{})
+					store := claims.NewStore(settled, fmt.Sprint(i))
+					begun, _ := store.Begin(t.Context(), request("k"))
+					if begun.Outcome != claims.Acquired {
+						return
+					}
+					if abandon[i] {
+						_ = store.Abandon(t.Context(), begun.Claim)
+						return
+					}
+					dispatched.Add(1)
+					_ = store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200})
+				})
+			}
+			for _, f := range faults {
+				table.Faults.Set(f)
+				time.Sleep(100 * time.Millisecond)
+			}
+			table.Faults.Set(fault.Settings{})
+			entries.Wait()
+		})
+		if n := dispatched.Load(); n > 1 {
+			rt.Fatalf("dispatched %d times", n)
+		}
+	})
+}
+
+// Guards against a lost answer that the adapter and the store together turn into
+// a denied or repeated claim, over HTTP.
+func TestOverHTTP(t *testing.T) {
+	service := table.New("rows", fault.Settings{})
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	settings := platform.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}
+	store := claims.NewStore(platform.NewSettled(platform.NewDynamoDB(settings, "rows"), platform.SettledSettings{}), "i-1")
+	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
+	begun := requireOutcome(t, store, request("k"), claims.Acquired)
+	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
+	result := claims.Result{Status: 200, ContentType: "text/plain", Body: bytes.Repeat([]byte("x"), claims.MaxBodyBytes)}
+	require.NoError(t, store.Finish(t.Context(), begun.Claim, result))
+	require.Equal(t, result, requireOutcome(t, store, request("k"), claims.Stored).Result)
+}
+
+// Measures one claim (Begin and Finish) on the in-memory table.
+func BenchmarkClaim(b *testing.B) {
+	table := memtable.New(fault.Settings{Unlimited: true})
+	settled := platform.NewSettled(table, platform.SettledSettings{WritesPerSecond: 1e9, WriteBurst: 1 << 30})
+	store := claims.NewStore(settled, "i-1")
+	result := claims.Result{Status: 200, ContentType: "application/json", Body: bytes.Repeat([]byte("x"), 512)}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		begun, err := store.Begin(b.Context(), request(fmt.Sprint(n)))
+		require.NoError(b, err)
+		require.NoError(b, store.Finish(b.Context(), begun.Claim, result))
+	}
+	stats := settled.Stats()
+	b.ReportMetric(float64(stats.Writes)/float64(n), "writes/op")
+	b.ReportMetric(float64(stats.Reads)/float64(n), "reads/op")
+}
