State that a claim is used by one goroutine

Cause: Claim holds the row's version without a lock; Store's comment said that the store is safe for concurrent use and nothing about a claim. Ruled out: a lock, because only the entry that holds a claim uses it. Conclusion: documented.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -101,7 +101,7 @@
 }
 
 // Claim is a held claim. It may be used for further attempts as long as no
-// byte of the request was written.
+// byte of the request was written. It is used by one goroutine at a time.
 type Claim struct {
 	key     platform.Key
 	row     *pb.ClaimRow
