--- /dev/null
+++ b/membership/facts.go
@@ -0,0 +1,285 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the sets. The entries with the lowest rank are dropped beyond them.
+const (
+	MaxLeavingTargets = 4096
+	MaxMoveStops      = 256
+	MaxQuarantine     = 1024
+	MaxEvidence       = 8192
+	// MaxDiedTargets bounds the target names kept in a quarantine entry.
+	MaxDiedTargets = 4
+)
+
+// Leaving is a target that was seen to leave in a configuration generation.
+type Leaving struct {
+	Target     string
+	Generation int64
+}
+
+// StopKey identifies a stop of a move.
+type StopKey struct {
+	Move       string
+	Generation int64
+}
+
+// Stop tells that a move's new version must get no more traffic.
+type Stop struct {
+	StopKey
+	Reason string
+}
+
+// Quarantine is a request fingerprint that is refused until Expires.
+type Quarantine struct {
+	Fingerprint uint64
+	Expires     time.Time
+	Died        []string // sorted names of targets that died, MaxDiedTargets at most
+}
+
+// EvidenceKey identifies one instance's counters in one window.
+type EvidenceKey struct {
+	Move        string
+	Version     string
+	Instance    string
+	Incarnation uint64
+	Window      int64
+}
+
+// Evidence holds counters that only their owner increases.
+type Evidence struct {
+	EvidenceKey
+	Requests           int64
+	Failures           int64
+	FirstTokenMsSum    int64
+	TokenIntervalUsSum int64
+	TokenIntervals     int64
+}
+
+// boundedSet is a map whose values only grow under merge. Beyond its limit it
+// keeps the highest ranks. Ranks grow with values, so the result does not
+// depend on the order of merges.
+type boundedSet[K comparable, V any] struct {
+	items map[K]V
+	limit int
+	key   func(V) K
+	join  func(a, b V) V
+	equal func(a, b V) bool
+	rank  func(a, b V) int // total order over values of different keys
+}
+
+// merge adds a value and reports whether the set holds something new.
+func (s *boundedSet[K, V]) merge(value V) bool {
+	key := s.key(value)
+	old, known := s.items[key]
+	if known {
+		value = s.join(old, value)
+		if s.equal(old, value) {
+			return false
+		}
+	}
+	s.items[key] = value
+	if len(s.items) <= s.limit {
+		return true
+	}
+	lowest := slices.MinFunc(slices.Collect(maps.Values(s.items)), s.rank)
+	delete(s.items, s.key(lowest))
+	return s.key(lowest) != key
+}
+
+// Facts are what instances spread besides the view. They are not safe for
+// concurrent use. Each set's merge is commutative, associative and idempotent.
+type Facts struct {
+	leaving    boundedSet[string, Leaving]
+	stops      boundedSet[StopKey, Stop]
+	quarantine boundedSet[uint64, Quarantine]
+	evidence   boundedSet[EvidenceKey, Evidence]
+	hash       uint64
+	stale      bool // hash awaits a new computation
+}
+
+// NewFacts returns empty sets with the standard bounds.
+func NewFacts() *Facts {
+	return newFacts(MaxLeavingTargets, MaxMoveStops, MaxQuarantine, MaxEvidence)
+}
+
+func newFacts(leaving, stops, quarantine, evidence int) *Facts {
+	return &Facts{
+		leaving: boundedSet[string, Leaving]{
+			items: map[string]Leaving{},
+			limit: leaving,
+			key:   func(l Leaving) string { return l.Target },
+			join: func(a, b Leaving) Leaving {
+				a.Generation = max(a.Generation, b.Generation)
+				return a
+			},
+			equal: func(a, b Leaving) bool { return a == b },
+			rank: func(a, b Leaving) int {
+				return cmp.Or(cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Target, b.Target))
+			},
+		},
+		stops: boundedSet[StopKey, Stop]{
+			items: map[StopKey]Stop{},
+			limit: stops,
+			key:   func(s Stop) StopKey { return s.StopKey },
+			join: func(a, b Stop) Stop {
+				a.Reason = max(a.Reason, b.Reason)
+				return a
+			},
+			equal: func(a, b Stop) bool { return a == b },
+			rank: func(a, b Stop) int {
+				return cmp.Or(cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Move, b.Move))
+			},
+		},
+		quarantine: boundedSet[uint64, Quarantine]{
+			items: map[uint64]Quarantine{},
+			limit: quarantine,
+			key:   func(q Quarantine) uint64 { return q.Fingerprint },
+			join:  joinQuarantine,
+			equal: func(a, b Quarantine) bool {
+				return a.Expires.Equal(b.Expires) && slices.Equal(a.Died, b.Died)
+			},
+			// The rank ignores the expiry: an entry that is dropped and
+			// later renewed would lose names of dead targets, and the result
+			// would depend on the order of merges.
+			rank: func(a, b Quarantine) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) },
+		},
+		evidence: boundedSet[EvidenceKey, Evidence]{
+			items: map[EvidenceKey]Evidence{},
+			limit: evidence,
+			key:   func(e Evidence) EvidenceKey { return e.EvidenceKey },
+			join:  joinEvidence,
+			equal: func(a, b Evidence) bool { return a == b },
+			rank:  rankEvidence,
+		},
+	}
+}
+
+// Hash covers all facts except evidence, whose counters change all the time,
+// and the validity of quarantine entries, which drifts with message delays.
+func (f *Facts) Hash() uint64 {
+	if !f.stale {
+		return f.hash
+	}
+	f.stale = false
+	f.hash = 0
+	for _, l := range f.leaving.items {
+		f.hash ^= xxhash.Sum64String(fmt.Sprintf("leaving %q %d", l.Target, l.Generation))
+	}
+	for _, s := range f.stops.items {
+		f.hash ^= xxhash.Sum64String(fmt.Sprintf("stop %q %d %q", s.Move, s.Generation, s.Reason))
+	}
+	for fingerprint := range f.quarantine.items {
+		f.hash ^= xxhash.Sum64String(fmt.Sprintf("quarantine %d", fingerprint))
+	}
+	return f.hash
+}
+
+// keys names all facts except evidence.
+func (f *Facts) keys() []recordKey {
+	var keys []recordKey
+	for target := range f.leaving.items {
+		keys = append(keys, recordKey{kind: kindLeaving, name: target})
+	}
+	for stop := range f.stops.items {
+		keys = append(keys, recordKey{kind: kindStop, name: stop.Move, number: uint64(stop.Generation)})
+	}
+	for fingerprint := range f.quarantine.items {
+		keys = append(keys, recordKey{kind: kindQuarantine, number: fingerprint})
+	}
+	return keys
+}
+
+// normalize sorts the names of dead targets, removes duplicates and bounds them.
+func (q Quarantine) normalize() Quarantine {
+	if len(q.Died) == 0 {
+		q.Died = nil
+		return q
+	}
+	died := slices.Clone(q.Died)
+	slices.Sort(died)
+	died = slices.Compact(died)
+	q.Died = died[:min(len(died), MaxDiedTargets)]
+	return q
+}
+
+func joinQuarantine(a, b Quarantine) Quarantine {
+	if b.Expires.After(a.Expires) {
+		a.Expires = b.Expires
+	}
+	a.Died = slices.Concat(a.Died, b.Died)
+	return a.normalize()
+}
+
+func joinEvidence(a, b Evidence) Evidence {
+	a.Requests = max(a.Requests, b.Requests)
+	a.Failures = max(a.Failures, b.Failures)
+	a.FirstTokenMsSum = max(a.FirstTokenMsSum, b.FirstTokenMsSum)
+	a.TokenIntervalUsSum = max(a.TokenIntervalUsSum, b.TokenIntervalUsSum)
+	a.TokenIntervals = max(a.TokenIntervals, b.TokenIntervals)
+	return a
+}
+
+func rankEvidence(a, b Evidence) int {
+	return cmp.Or(
+		cmp.Compare(a.Window, b.Window),
+		cmp.Compare(a.Move, b.Move),
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Instance, b.Instance),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+	)
+}
+
+// MergeLeaving adds a leaving target and reports whether it was news.
+func (f *Facts) MergeLeaving(l Leaving) bool { return f.note(f.leaving.merge(l)) }
+
+// MergeStop adds a move stop and reports whether it was news.
+func (f *Facts) MergeStop(s Stop) bool { return f.note(f.stops.merge(s)) }
+
+// MergeQuarantine adds a quarantine entry and reports whether it was news.
+func (f *Facts) MergeQuarantine(q Quarantine) bool {
+	return f.note(f.quarantine.merge(q.normalize()))
+}
+
+func (f *Facts) note(changed bool) bool {
+	f.stale = f.stale || changed
+	return changed
+}
+
+// MergeEvidence adds counters and reports whether any of them grew.
+func (f *Facts) MergeEvidence(e Evidence) bool { return f.evidence.merge(e) }
+
+// Prune drops quarantine entries whose time is over and evidence of windows
+// before oldest.
+func (f *Facts) Prune(now time.Time, oldest int64) {
+	held := len(f.quarantine.items)
+	maps.DeleteFunc(f.quarantine.items, func(_ uint64, q Quarantine) bool { return !q.Expires.After(now) })
+	f.note(len(f.quarantine.items) != held)
+	maps.DeleteFunc(f.evidence.items, func(k EvidenceKey, _ Evidence) bool { return k.Window < oldest })
+}
+
+// Snapshot is a copy of all facts. Slices are in no particular order.
+type Snapshot struct {
+	Leaving    []Leaving
+	Stops      []Stop
+	Quarantine []Quarantine
+	Evidence   []Evidence
+}
+
+// Snapshot copies the facts.
+func (f *Facts) Snapshot() Snapshot {
+	return Snapshot{
+		Leaving:    slices.Collect(maps.Values(f.leaving.items)),
+		Stops:      slices.Collect(maps.Values(f.stops.items)),
+		Quarantine: slices.Collect(maps.Values(f.quarantine.items)),
+		Evidence:   slices.Collect(maps.Values(f.evidence.items)),
+	}
+}
