membership: exchange with random peers, urgent facts, region heal

Cause: views and facts have to reach all instances within seconds under 2 KB/s each, failures have to be noticed, and regions have to find each other again. A hash of the view alone; an instance that was away then never learns a stop or a leaving target, so the hash covers facts too. Conclusion: ready for the daemon. At 440 instances evidence of a move does not reach everyone within its window under the bound of 3 records.

--- /dev/null
+++ b/membership/exchanger.go
@@ -0,0 +1,307 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// Timing and bounds of the exchange.
+const (
+	// RoundInterval is the time between periodic exchanges.
+	RoundInterval = time.Second
+	// CallTimeout bounds one exchange.
+	CallTimeout = time.Second
+	// ProbeTimeout bounds the call that a helper makes for an indirect probe. It
+	// is shorter than CallTimeout so that the answer still reaches the asker.
+	ProbeTimeout = 500 * time.Millisecond
+	// ReprobeInterval is the mean time between probes of unreached instances.
+	ReprobeInterval = 5 * time.Second
+	// ListInterval is the mean time between reads of the platform's list.
+	ListInterval = 10 * time.Second
+	// ListTimeout bounds one read of the platform's list.
+	ListTimeout = 5 * time.Second
+	// FullViewInterval is the shortest time between full views that an instance
+	// starts because hashes differ.
+	FullViewInterval = 30 * time.Second
+	// UrgentPeers is the number of peers that an urgent fact is sent to.
+	UrgentPeers = 3
+	// UrgentPause is the shortest time between urgent messages. Facts that arrive
+	// in it share one message, which bounds the cost when many instances fail.
+	UrgentPause = 100 * time.Millisecond
+	// ProbeHelpers is the number of peers asked for an indirect probe.
+	ProbeHelpers = 2
+	// MismatchesBeforeFull is the number of consecutive differing hashes after
+	// which the full view is sent. A few differ whenever a change is under way.
+	MismatchesBeforeFull = 5
+	// EvidenceWindow is the length of an evidence window.
+	EvidenceWindow = 10 * time.Second
+	// EvidenceWindows is the number of past windows that are kept.
+	EvidenceWindows = 90
+	// QuarantineSlack is the growth of an expiry that is not news. Validity is
+	// sent as a remaining time, so each hop adds its delay.
+	QuarantineSlack = time.Second
+
+	maxCalls = 16
+)
+
+// Transport sends an exchange to the instance at an address.
+type Transport interface {
+	Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error)
+}
+
+// Options configure an Exchanger.
+type Options struct {
+	Self      Instance
+	Transport Transport
+	List      platform.InstanceList // nil: none
+	Rand      *rand.Rand
+	Logger    *zap.Logger // nil: none
+}
+
+// KnownGeneration is a configuration generation above the instance's own.
+type KnownGeneration struct {
+	Generation int64
+	Hash       string
+	Peer       Instance // has the content
+}
+
+// Subscription delivers the latest value of each kind of change. An unread
+// value is replaced by a newer one.
+type Subscription struct {
+	View       <-chan []Instance
+	Generation <-chan KnownGeneration
+	Facts      <-chan Snapshot
+
+	view       chan []Instance
+	generation chan KnownGeneration
+	facts      chan Snapshot
+}
+
+// Exchanger keeps the view and the facts in step with the other instances. Run
+// drives it; all other methods are safe for concurrent use.
+type Exchanger struct {
+	transport Transport
+	list      platform.InstanceList
+	logger    *zap.Logger
+	wake      chan struct{} // holds one token while urgent records wait
+	calls     chan struct{} // bounds concurrent outgoing calls
+	fullTo    chan Instance // asked for the full view
+	running   sync.WaitGroup
+
+	mu         sync.Mutex
+	rng        *rand.Rand
+	view       *View
+	facts      *Facts
+	spread     spread
+	urgent     []recordKey
+	generation int64
+	configHash string
+	mismatches int
+	lastFull   time.Time
+	sendsFull  bool   // a full view is being sent or waits in fullTo
+	announce   bool   // the own generation is to be sent at once
+	published  uint64 // hash of the view last delivered
+	subs       []*Subscription
+}
+
+// New returns an Exchanger that knows only its own instance.
+func New(options Options) *Exchanger {
+	logger := options.Logger
+	if logger == nil {
+		logger = zap.NewNop()
+	}
+	e := &Exchanger{
+		transport: options.Transport,
+		list:      options.List,
+		logger:    logger,
+		wake:      make(chan struct{}, 1),
+		calls:     make(chan struct{}, maxCalls),
+		fullTo:    make(chan Instance, 1),
+		rng:       options.Rand,
+		view:      NewView(options.Self, time.Now()),
+		facts:     NewFacts(),
+		spread:    spread{left: map[recordKey]int{}},
+	}
+	e.published = e.view.Hash()
+	e.queueMember(options.Self.Name)
+	return e
+}
+
+// Subscribe returns a new subscription. It lasts as long as the Exchanger.
+func (e *Exchanger) Subscribe() *Subscription {
+	s := &Subscription{
+		view:       make(chan []Instance, 1),
+		generation: make(chan KnownGeneration, 1),
+		facts:      make(chan Snapshot, 1),
+	}
+	s.View, s.Generation, s.Facts = s.view, s.generation, s.facts
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.subs = append(e.subs, s)
+	return s
+}
+
+// replace puts the latest value into a channel of capacity one. Callers hold
+// the Exchanger's lock, so there is one sender at a time.
+func replace[T any](ch chan T, value T) {
+	select {
+	case <-ch:
+	default:
+	}
+	ch <- value
+}
+
+// Live returns the instances that may own keys, in the order of their names.
+func (e *Exchanger) Live() []Instance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view.Live()
+}
+
+// Owner selects the owner of a key as View.Owner does.
+func (e *Exchanger) Owner(key, region string) (Instance, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view.Owner(key, region)
+}
+
+// Facts returns a copy of all facts.
+func (e *Exchanger) Facts() Snapshot {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.facts.Snapshot()
+}
+
+// AddLeaving spreads a leaving target at once.
+func (e *Exchanger) AddLeaving(l Leaving) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mergeLeaving(l) {
+		e.publishFacts()
+	}
+}
+
+// AddStop spreads a move stop at once.
+func (e *Exchanger) AddStop(s Stop) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mergeStop(s) {
+		e.publishFacts()
+	}
+}
+
+// AddQuarantine spreads a quarantine entry at once.
+func (e *Exchanger) AddQuarantine(q Quarantine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mergeQuarantine(q) {
+		e.publishFacts()
+	}
+}
+
+// AddEvidence spreads the instance's own counters with the periodic exchange.
+func (e *Exchanger) AddEvidence(ev Evidence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mergeEvidence(ev) {
+		e.publishFacts()
+	}
+}
+
+// SetGeneration tells the peers at once that the instance holds the content of
+// a configuration generation. A lower generation than the present one is ignored.
+func (e *Exchanger) SetGeneration(generation int64, hash string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if generation <= e.generation {
+		return
+	}
+	e.generation, e.configHash = generation, hash
+	e.announce = true
+	e.signalUrgent()
+}
+
+// Leave marks the instance as leaving, tells peers and returns once they
+// answered or ctx ends.
+func (e *Exchanger) Leave(ctx context.Context) {
+	e.mu.Lock()
+	e.view.Leave(time.Now())
+	key := recordKey{kind: kindMember, name: e.view.Self().Name}
+	e.spread.add(key, sends(len(e.view.Live())))
+	e.publishView()
+	e.mu.Unlock()
+	var sent sync.WaitGroup
+	for _, call := range e.pushes(ctx, []recordKey{key}) {
+		sent.Go(call)
+	}
+	sent.Wait()
+}
+
+// Run exchanges until ctx ends and returns after its calls have ended.
+func (e *Exchanger) Run(ctx context.Context) {
+	defer e.running.Wait()
+	round := time.NewTimer(e.jitter(RoundInterval) / 2)
+	reprobe := time.NewTimer(0)
+	list := time.NewTimer(0)
+	pause := time.NewTimer(0)
+	var wake <-chan struct{} // nil during the pause after an urgent message
+	defer round.Stop()
+	defer reprobe.Stop()
+	defer list.Stop()
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-round.C:
+			round.Reset(RoundInterval)
+			e.round(ctx)
+		case <-reprobe.C:
+			reprobe.Reset(e.jitter(e.reprobe(ctx)))
+		case <-list.C:
+			list.Reset(e.jitter(ListInterval))
+			e.start(func() { e.readList(ctx) })
+		case peer := <-e.fullTo:
+			if !e.start(func() { e.sendFullView(ctx, peer, false) }) {
+				e.endFullView()
+			}
+		case <-pause.C:
+			wake = e.wake
+		case <-wake:
+			wake = nil
+			pause.Reset(UrgentPause)
+			e.pushUrgent(ctx)
+		}
+	}
+}
+
+// hash covers the view and the facts that exchanges repair.
+func (e *Exchanger) hash() uint64 { return e.view.Hash() ^ e.facts.Hash() }
+
+// jitter spreads a mean interval over half to one and a half times its length.
+func (e *Exchanger) jitter(mean time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return mean/2 + time.Duration(e.rng.Int64N(int64(mean)))
+}
+
+// start runs a call in the background unless too many are under way.
+func (e *Exchanger) start(call func()) bool {
+	select {
+	case e.calls <- struct{}{}:
+	default:
+		return false
+	}
+	e.running.Go(func() {
+		defer func() { <-e.calls }()
+		call()
+	})
+	return true
+}
--- /dev/null
+++ b/membership/fleet_test.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// fleet connects Exchangers in memory inside one synctest bubble. All accesses
+// hold mu, except the calls of Handle.
+type fleet struct {
+	mu        chan struct{} // a mutex that synctest treats as a durable block
+	rng       *rand.Rand
+	members   map[string]*member // by address
+	list      []platform.InstanceRecord
+	listErr   error
+	loss      float64
+	cut       bool // regions "a" and "b" do not reach each other
+	requests  int
+	wireBytes int
+	running   sync.WaitGroup
+	ended     chan struct{}
+	crossings map[time.Time]int // requests over the regional link, by second
+}
+
+type member struct {
+	*Exchanger
+	self  Instance
+	stop  context.CancelFunc
+	cutIt bool // neither sends nor receives
+}
+
+var errLink = errors.New("no connection")
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{
+		mu:        make(chan struct{}, 1),
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		members:   map[string]*member{},
+		crossings: map[time.Time]int{},
+		ended:     make(chan struct{}),
+	}
+	return f
+}
+
+func (f *fleet) locked(do func()) {
+	f.mu <- struct{}{}
+	defer func() { <-f.mu }()
+	do()
+}
+
+// List implements platform.InstanceList.
+func (f *fleet) List(context.Context) (list []platform.InstanceRecord, err error) {
+	f.locked(func() { list, err = f.list, f.listErr })
+	return list, err
+}
+
+type link struct {
+	fleet *fleet
+	from  Instance
+}
+
+// Exchange delivers after 1 ms. A lost message ends with the caller's deadline.
+func (l link) Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	f := l.fleet
+	var to *member
+	var lost bool
+	f.locked(func() {
+		to = f.members[address]
+		from := f.members[l.from.Address]
+		if to == nil || from == nil {
+			return
+		}
+		crosses := to.self.Region != l.from.Region
+		if crosses {
+			f.crossings[time.Now().Truncate(time.Second)]++
+		}
+		lost = to.cutIt || from.cutIt || f.rng.Float64() < f.loss || f.cut && crosses
+		f.requests++
+		f.wireBytes += proto.Size(request)
+	})
+	if to == nil {
+		return nil, errLink
+	}
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	response, err := to.Handle(ctx, request)
+	f.locked(func() { f.wireBytes += proto.Size(response) })
+	return response, err
+}
+
+func (f *fleet) start(i int, incarnation uint64) *member {
+	self := Instance{
+		Name:        fmt.Sprintf("instance-%03d", i),
+		Incarnation: incarnation,
+		Address:     fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200+1),
+		Region:      [2]string{"a", "b"}[i%2],
+		Zone:        "zone-1",
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var seed uint64
+	f.locked(func() { seed = f.rng.Uint64() })
+	e := New(Options{Self: self, Transport: link{f, self}, List: f, Rand: rand.New(rand.NewPCG(seed, 2))})
+	m := &member{Exchanger: e, self: self}
+	done := make(chan struct{})
+	m.stop = func() {
+		f.locked(func() { delete(f.members, self.Address) })
+		cancel()
+		<-done
+	}
+	f.locked(func() { f.members[self.Address] = m })
+	go func() {
+		e.Run(ctx)
+		close(done)
+	}()
+	return m
+}
+
+// startAll starts n instances whose views know each other, as after a long
+// quiet time, so that large fleets need no costly start.
+func (f *fleet) startAll(n int) []*member {
+	members := make([]*member, n)
+	for i := range members {
+		members[i] = f.start(i, 1)
+		self := members[i].self
+		item := platform.InstanceRecord{Name: self.Name, Address: self.Address, Region: self.Region}
+		f.locked(func() { f.list = append(f.list, item) })
+	}
+	for _, m := range members {
+		m.mu.Lock()
+		for _, other := range members {
+			m.view.Merge(Record{Instance: other.self, State: StateLive}, time.Now())
+		}
+		clear(m.spread.left)
+		m.mu.Unlock()
+	}
+	return members
+}
+
+// within runs a synctest bubble with a fleet and stops all its instances.
+func within(t *testing.T, seed uint64, do func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(seed)
+		defer func() {
+			close(f.ended)
+			f.running.Wait()
+			for _, m := range maps.Clone(f.members) {
+				m.stop()
+			}
+		}()
+		do(t, f)
+	})
+}
+
+// timeUntil polls each 50 ms and returns the time that the condition took, or
+// false after the limit.
+func timeUntil(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			return limit, false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start), true
+}
+
+// applyGenerations lets each member take a known generation after 20 ms, as if
+// it had fetched the content, and counts the members that did.
+func (f *fleet) applyGenerations(members []*member) *atomic.Int64 {
+	applied := new(atomic.Int64)
+	for _, m := range members {
+		sub := m.Subscribe()
+		f.running.Go(func() {
+			select {
+			case known := <-sub.Generation:
+				time.Sleep(20 * time.Millisecond)
+				m.SetGeneration(known.Generation, known.Hash)
+				applied.Add(1)
+			case <-f.ended:
+			}
+		})
+	}
+	return applied
+}
+
+func (m *member) get(name string) Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, _ := m.view.Get(name)
+	return r
+}
+
+func (m *member) stateHash() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hash()
+}
+
+func agree(members []*member) bool {
+	for _, m := range members {
+		if len(m.Live()) != len(members) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/membership/incoming.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// message is what an exchange carries in either direction.
+type message interface {
+	GetSender() *pb.Member
+	GetMembers() []*pb.Member
+	GetGeneration() int64
+	GetConfigHash() string
+	GetLeaving() []*pb.LeavingTarget
+	GetQuarantine() []*pb.QuarantineEntry
+	GetEvidence() []*pb.EvidenceCounter
+	GetStops() []*pb.MoveStop
+}
+
+// Handle answers an exchange that a peer started. It returns an error only if
+// ctx ends.
+func (e *Exchanger) Handle(ctx context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	e.mu.Lock()
+	out := outgoing{members: e.merge(request)}
+	e.fill(&out, e.spread.take(MaxRecords-len(out.members)))
+	response := &pb.ExchangeResponse{
+		Sender:     e.view.Self().message(),
+		ViewHash:   e.hash(),
+		Generation: e.generation,
+		ConfigHash: e.configHash,
+	}
+	full := e.wantsFullView(request)
+	target, known := e.view.Get(request.GetProbe())
+	e.mu.Unlock()
+	out.toResponse(response)
+	if full.Name != "" {
+		e.fullTo <- full // has room: sendsFull admits one at a time
+	}
+	if known && target.Name != response.GetSender().GetName() {
+		_, err := e.send(ctx, target.Instance, e.request(target.Name, 0), ProbeTimeout)
+		response.ProbeOk = err == nil
+	}
+	return response, ctx.Err()
+}
+
+// wantsFullView returns the sender if it asked for the full view and no other
+// full view is being sent. It then reserves the sending.
+func (e *Exchanger) wantsFullView(request *pb.ExchangeRequest) Instance {
+	if request.GetProbe() != e.view.Self().Name || e.sendsFull {
+		return Instance{}
+	}
+	sender, ok := recordFrom(request.GetSender())
+	if !ok {
+		return Instance{}
+	}
+	e.sendsFull = true
+	return sender.Instance
+}
+
+// merge takes in a message. It returns the instance's own records where the
+// peer's were older, so that a stale peer catches up and a suspect learns that
+// it has to refute.
+func (e *Exchanger) merge(m message) []*pb.Member {
+	now := time.Now()
+	var newer []*pb.Member
+	for _, member := range append([]*pb.Member{m.GetSender()}, m.GetMembers()...) {
+		if record, ok := recordFrom(member); ok {
+			newer = e.mergeMember(record, now, newer)
+		}
+	}
+	factsChanged := e.mergeFacts(m, now)
+	e.publishView()
+	if factsChanged {
+		e.publishFacts()
+	}
+	sender, ok := recordFrom(m.GetSender())
+	if ok && m.GetGeneration() > e.generation {
+		known := KnownGeneration{Generation: m.GetGeneration(), Hash: m.GetConfigHash(), Peer: sender.Instance}
+		for _, s := range e.subs {
+			replace(s.generation, known)
+		}
+	}
+	return newer
+}
+
+func (e *Exchanger) mergeMember(record Record, now time.Time, newer []*pb.Member) []*pb.Member {
+	before, _ := e.view.Get(record.Name)
+	if e.view.Merge(record, now) {
+		self := record.Name == e.view.Self().Name
+		if refuted := before.State == StateSuspect || self && record.State == StateSuspect; refuted {
+			// The refutation must arrive before the suspicion times out. Those
+			// of instances already dead may wait: after a region cut there
+			// are many at once.
+			e.queueUrgent(recordKey{kind: kindMember, name: record.Name})
+			return newer
+		}
+		e.queueMember(record.Name)
+		return newer
+	}
+	own, known := e.view.Get(record.Name)
+	if known && own.supersedes(record) && len(newer) < MaxRecords {
+		newer = append(newer, own.message())
+	}
+	return newer
+}
+
+func (e *Exchanger) mergeFacts(m message, now time.Time) bool {
+	changed := false
+	for _, l := range m.GetLeaving() {
+		changed = e.mergeLeaving(Leaving{Target: l.GetTarget(), Generation: l.GetGeneration()}) || changed
+	}
+	for _, s := range m.GetStops() {
+		key := StopKey{Move: s.GetMove(), Generation: s.GetGeneration()}
+		changed = e.mergeStop(Stop{StopKey: key, Reason: s.GetReason()}) || changed
+	}
+	for _, q := range m.GetQuarantine() {
+		changed = e.mergeQuarantine(e.quarantineFrom(q, now)) || changed
+	}
+	for _, c := range m.GetEvidence() {
+		changed = e.mergeEvidence(evidenceFrom(c)) || changed
+	}
+	return changed
+}
+
+// quarantineFrom converts a message. An expiry that differs from the known one
+// by less than QuarantineSlack is taken as the known one.
+func (e *Exchanger) quarantineFrom(m *pb.QuarantineEntry, now time.Time) Quarantine {
+	expires := now.Add(time.Duration(m.GetValidMs()) * time.Millisecond)
+	old, known := e.facts.quarantine.items[m.GetFingerprint()]
+	if known && expires.Before(old.Expires.Add(QuarantineSlack)) {
+		expires = old.Expires
+	}
+	return Quarantine{Fingerprint: m.GetFingerprint(), Expires: expires, Died: m.GetDied()}
+}
+
+func (e *Exchanger) mergeLeaving(l Leaving) bool {
+	return e.facts.MergeLeaving(l) && e.queueUrgent(recordKey{kind: kindLeaving, name: l.Target})
+}
+
+func (e *Exchanger) mergeStop(s Stop) bool {
+	key := recordKey{kind: kindStop, name: s.Move, number: uint64(s.Generation)}
+	return e.facts.MergeStop(s) && e.queueUrgent(key)
+}
+
+func (e *Exchanger) mergeQuarantine(q Quarantine) bool {
+	return e.facts.MergeQuarantine(q) && e.queueUrgent(recordKey{kind: kindQuarantine, number: q.Fingerprint})
+}
+
+func (e *Exchanger) mergeEvidence(ev Evidence) bool {
+	if !e.facts.MergeEvidence(ev) {
+		return false
+	}
+	e.spread.add(recordKey{kind: kindEvidence, evidence: ev.EvidenceKey}, sends(len(e.view.Live())))
+	return true
+}
+
+// queueMember spreads an instance's record. A leaving instance and a suspicion
+// are urgent: the suspicion then times out everywhere at about the same time.
+func (e *Exchanger) queueMember(name string) {
+	record, ok := e.view.Get(name)
+	if !ok {
+		return
+	}
+	key := recordKey{kind: kindMember, name: name}
+	if record.State == StateLeaving || record.State == StateSuspect {
+		e.queueUrgent(key)
+		return
+	}
+	e.spread.add(key, sends(len(e.view.Live())))
+}
+
+// queueUrgent spreads a record at once and with the periodic exchanges. As only
+// news is queued, each receiver relays a fact once.
+func (e *Exchanger) queueUrgent(key recordKey) bool {
+	e.spread.add(key, sends(len(e.view.Live())))
+	e.urgent = append(e.urgent, key)
+	e.signalUrgent()
+	return true
+}
+
+func (e *Exchanger) signalUrgent() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Exchanger) publishView() {
+	if e.view.Hash() == e.published {
+		return
+	}
+	e.published = e.view.Hash()
+	for _, s := range e.subs {
+		replace(s.view, e.view.Live())
+	}
+}
+
+func (e *Exchanger) publishFacts() {
+	if len(e.subs) == 0 {
+		return
+	}
+	snapshot := e.facts.Snapshot()
+	for _, s := range e.subs {
+		replace(s.facts, snapshot)
+	}
+}
--- /dev/null
+++ b/membership/outgoing.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// errOtherInstance: the address now belongs to an instance of another name.
+var errOtherInstance = errors.New("another instance answers at the address")
+
+// round advances the view's timers and exchanges with one random peer, or with
+// two while more changes wait than one message holds. Evidence does not count.
+func (e *Exchanger) round(ctx context.Context) {
+	e.mu.Lock()
+	now := time.Now()
+	for _, name := range e.view.Tick(now) {
+		e.queueMember(name)
+	}
+	e.facts.Prune(now, now.UnixNano()/int64(EvidenceWindow)-EvidenceWindows)
+	e.publishView()
+	fanout := 1
+	if e.spread.pending() > MaxRecords {
+		fanout = 2
+	}
+	peers := e.randomPeers(fanout, "")
+	e.mu.Unlock()
+	for _, peer := range peers {
+		e.start(func() { e.exchange(ctx, peer) })
+	}
+}
+
+// reprobe contacts one random unreached instance and returns the mean time until
+// the next probe. An instance that knows no peer looks for one each round.
+func (e *Exchanger) reprobe(ctx context.Context) time.Duration {
+	e.mu.Lock()
+	unreached := e.view.Unreached()
+	alone := len(e.view.Live()) <= 1
+	var peer Instance
+	if len(unreached) > 0 {
+		peer = unreached[e.rng.IntN(len(unreached))]
+	}
+	leaving := e.view.Self().State == StateLeaving
+	e.mu.Unlock()
+	if len(unreached) > 0 && !leaving {
+		e.start(func() { e.probeUnreached(ctx, peer, alone) })
+	}
+	if alone {
+		return RoundInterval
+	}
+	return ReprobeInterval
+}
+
+func (e *Exchanger) probeUnreached(ctx context.Context, peer Instance, wantFull bool) {
+	request := e.request(peer.Name, MaxRecords)
+	if wantFull {
+		request.Probe = peer.Name
+	}
+	// A failure is expected here and changes nothing.
+	_, _ = e.send(ctx, peer, request, CallTimeout)
+}
+
+// exchange sends the pending changes to a peer and probes it by that.
+func (e *Exchanger) exchange(ctx context.Context, peer Instance) {
+	response, err := e.send(ctx, peer, e.request(peer.Name, MaxRecords), CallTimeout)
+	if err != nil {
+		e.checkFailed(ctx, peer, err)
+		return
+	}
+	e.mu.Lock()
+	full := e.countMismatch(response.GetViewHash())
+	e.mu.Unlock()
+	if full {
+		e.sendFullView(ctx, peer, true)
+	}
+}
+
+// countMismatch reports whether the full view is to be sent now.
+func (e *Exchanger) countMismatch(hash uint64) bool {
+	if hash == e.hash() {
+		e.mismatches = 0
+		return false
+	}
+	e.mismatches++
+	now := time.Now()
+	if e.mismatches < MismatchesBeforeFull || now.Sub(e.lastFull) < FullViewInterval || e.sendsFull {
+		return false
+	}
+	e.mismatches, e.lastFull, e.sendsFull = 0, now, true
+	return true
+}
+
+// sendFullView sends the view and the facts, except evidence, in pieces. The caller has set sendsFull. With
+// back, the last piece asks the peer for its own full view: a probe of the
+// receiver itself has no other meaning.
+func (e *Exchanger) sendFullView(ctx context.Context, peer Instance, back bool) {
+	e.mu.Lock()
+	keys := e.facts.keys()
+	for _, record := range e.view.Records() {
+		keys = append(keys, recordKey{kind: kindMember, name: record.Name})
+	}
+	e.mu.Unlock()
+	for len(keys) > 0 {
+		piece := keys[:min(MaxRecords, len(keys))]
+		keys = keys[len(piece):]
+		request := e.requestWith(peer.Name, piece)
+		if back && len(keys) == 0 {
+			request.Probe = peer.Name
+		}
+		if _, err := e.send(ctx, peer, request, CallTimeout); err != nil {
+			break
+		}
+	}
+	e.endFullView()
+}
+
+func (e *Exchanger) endFullView() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sendsFull = false
+}
+
+// send makes one call and merges the response.
+func (e *Exchanger) send(ctx context.Context, peer Instance, request *pb.ExchangeRequest, timeout time.Duration) (*pb.ExchangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := e.transport.Exchange(ctx, peer.Address, request)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.merge(response)
+	if response.GetSender().GetName() != peer.Name {
+		return nil, errOtherInstance
+	}
+	return response, nil
+}
+
+// checkFailed asks other peers to probe an instance that did not answer, and
+// suspects it unless one of them reaches it.
+func (e *Exchanger) checkFailed(ctx context.Context, peer Instance, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	e.mu.Lock()
+	helpers := e.randomPeers(ProbeHelpers, peer.Name)
+	e.mu.Unlock()
+	answers := make(chan bool, len(helpers))
+	for _, helper := range helpers {
+		go func() {
+			request := e.request(helper.Name, 0)
+			request.Probe = peer.Name
+			response, err := e.send(ctx, helper, request, CallTimeout)
+			answers <- err == nil && response.GetProbeOk()
+		}()
+	}
+	reached := false
+	for range helpers {
+		reached = <-answers || reached
+	}
+	if reached || ctx.Err() != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.view.Suspect(peer.Name, peer.Incarnation, time.Now()) {
+		e.queueMember(peer.Name)
+		e.logger.Info("instance suspected", zap.String("instance", peer.Name), zap.Error(cause))
+	}
+}
+
+// pushUrgent sends the waiting urgent records to random peers. The periodic
+// exchange repairs calls that fail or find no free slot.
+func (e *Exchanger) pushUrgent(ctx context.Context) {
+	e.mu.Lock()
+	keys, announce := e.urgent, e.announce
+	e.urgent, e.announce = nil, false
+	e.mu.Unlock()
+	if len(keys) == 0 && !announce {
+		return
+	}
+	for _, call := range e.pushes(ctx, keys) {
+		e.start(call)
+	}
+}
+
+// pushes returns one call for each of a few random peers and each batch of
+// records. Without records, the calls still carry the generation.
+func (e *Exchanger) pushes(ctx context.Context, keys []recordKey) []func() {
+	e.mu.Lock()
+	peers := e.randomPeers(UrgentPeers, "")
+	e.mu.Unlock()
+	var calls []func()
+	for {
+		batch := keys[:min(MaxRecords, len(keys))]
+		keys = keys[len(batch):]
+		for _, peer := range peers {
+			request := e.requestWith(peer.Name, batch)
+			calls = append(calls, func() { _, _ = e.send(ctx, peer, request, CallTimeout) })
+		}
+		if len(keys) == 0 {
+			return calls
+		}
+	}
+}
+
+func (e *Exchanger) readList(ctx context.Context) {
+	if e.list == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, ListTimeout)
+	defer cancel()
+	list, err := e.list.List(ctx)
+	if err != nil {
+		e.logger.Warn("instance list unavailable", zap.Error(err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, name := range e.view.MergeList(list, time.Now()) {
+		e.queueMember(name)
+	}
+	e.publishView()
+}
+
+// randomPeers picks distinct live peers other than the instance itself and one
+// excluded name.
+func (e *Exchanger) randomPeers(count int, exclude string) []Instance {
+	live := e.view.Live()
+	self := e.view.Self().Name
+	picked := make([]Instance, 0, count)
+	for _, i := range e.rng.Perm(len(live)) {
+		if len(picked) == count {
+			break
+		}
+		if live[i].Name != self && live[i].Name != exclude {
+			picked = append(picked, live[i])
+		}
+	}
+	return picked
+}
