Stand-ins: close gaps in their tests, stop commands by context

Seen: TestLinkForwards failed on a machine with 20 busy loops on 10 cores. Its commands were stopped by SIGTERM to the test process, and a late second signal ended the next test's commands. Commands now run until a context ends, and one test covers the signal.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -37,11 +38,11 @@
 	KVBlockBytes    int           `name:"kv-block-bytes" help:"Size of one exported cache block in bytes." default:"262144"`
 }
 
-// Run serves until a signal or an injected crash.
-func (c *engineCommand) Run(out output) error {
+// Run serves until ctx ends or an injected crash.
+func (c *engineCommand) Run(ctx context.Context, out output) error {
 	e := engine.New(c.settings())
 	defer e.Close()
-	return serve(out, "engine", c.listenFlags, e)
+	return serve(ctx, out, "engine", c.listenFlags, e)
 }
 
 func (c *engineCommand) settings() engine.Settings {
@@ -82,9 +83,9 @@
 	Rate float64 `help:"Rate in bytes/s, shared by all fetches." required:""`
 }
 
-// Run serves until a signal.
-func (c *weightsCommand) Run(out output) error {
-	return serve(out, "weights", c.listenFlags, engine.NewWeightStore(c.Rate))
+// Run serves until ctx ends.
+func (c *weightsCommand) Run(ctx context.Context, out output) error {
+	return serve(ctx, out, "weights", c.listenFlags, engine.NewWeightStore(c.Rate))
 }
 
 type serviceCommand struct {
@@ -93,8 +94,8 @@
 	Delay time.Duration `help:"Time that a call takes." default:"0s"`
 }
 
-// Run serves until a signal or an injected crash.
-func (c *serviceCommand) Run(out output) error {
+// Run serves until ctx ends or an injected crash.
+func (c *serviceCommand) Run(ctx context.Context, out output) error {
 	s, err := service.Listen(c.Listen, service.Settings{
 		Faults:  service.Faults{DelayMillis: c.Delay.Milliseconds()},
 		Seed:    c.Seed,
@@ -104,11 +105,10 @@
 		return err
 	}
 	defer s.Close()
-	signals := notifySignals()
 	if err := out.ready(ready{Kind: "service", Address: s.Address()}); err != nil {
 		return err
 	}
-	<-signals
+	<-ctx.Done()
 	return nil
 }
 
@@ -120,8 +120,8 @@
 	Backward  []string      `help:"listen=target: connections from side B to side A."`
 }
 
-// Run forwards until a signal. The listening address serves /stats and /fault.
-func (c *linkCommand) Run(out output) error {
+// Run forwards until ctx ends. The listening address serves /stats and /fault.
+func (c *linkCommand) Run(ctx context.Context, out output) error {
 	l := link.New(link.Settings{Delay: c.Delay, BytesPerSecond: c.Bandwidth})
 	defer l.Close()
 	var addresses []string
@@ -146,10 +146,9 @@
 		return err
 	}
 	defer control.Abort()
-	signals := notifySignals()
 	if err := out.ready(ready{Kind: "link", Address: control.Address(), Forwards: addresses}); err != nil {
 		return err
 	}
-	<-signals
+	<-ctx.Done()
 	return nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -53,27 +54,23 @@
 	return nil
 }
 
-// serve serves a handler until SIGINT or SIGTERM.
-func serve(out output, kind string, flags listenFlags, handler http.Handler) error {
+// serve serves a handler until ctx ends.
+func serve(ctx context.Context, out output, kind string, flags listenFlags, handler http.Handler) error {
 	server := httpserver.New(flags.Listen, handler)
 	if err := server.Start(); err != nil {
 		return err
 	}
 	defer server.Abort()
-	signals := notifySignals()
 	if err := out.ready(ready{Kind: kind, Address: server.Address()}); err != nil {
 		return err
 	}
-	<-signals
+	<-ctx.Done()
 	return nil
 }
 
-// notifySignals is called before the ready line, as whoever reads that line may
-// end the process at once.
-func notifySignals() <-chan os.Signal {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	return signals
+// untilSignal returns a context that ends with SIGINT or SIGTERM.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
 // crash ends the process without closing anything, as a crash does.
@@ -82,12 +79,15 @@
 }
 
 func main() {
+	stop, cancel := untilSignal()
+	defer cancel()
 	var cli commands
 	ctx := kong.Parse(&cli,
 		kong.Name("standin"),
 		kong.Description("Stand-ins of the systems around basilloom, for tests and demos."),
 		kong.DefaultEnvars(envPrefix),
 		kong.Bind(output{os.Stdout}),
+		kong.BindTo(stop, (*context.Context)(nil)),
 	)
 	ctx.FatalIfErrorf(ctx.Run())
 }
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -20,7 +21,9 @@
 	t.Helper()
 	reader, writer := io.Pipe()
 	var cli commands
-	parser, err := kong.New(&cli, kong.DefaultEnvars(envPrefix), kong.Bind(output{writer}))
+	stop, cancel := context.WithCancel(context.Background())
+	parser, err := kong.New(&cli, kong.DefaultEnvars(envPrefix), kong.Bind(output{writer}),
+		kong.BindTo(stop, (*context.Context)(nil)))
 	require.NoError(t, err)
 	ctx, err := parser.Parse(arguments)
 	require.NoError(t, err)
@@ -29,7 +32,7 @@
 	var line ready
 	require.NoError(t, json.NewDecoder(reader).Decode(&line))
 	t.Cleanup(func() {
-		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		cancel()
 		require.NoError(t, <-ended)
 	})
 	return line
@@ -45,8 +48,16 @@
 	require.NoError(t, json.NewDecoder(response.Body).Decode(answer))
 }
 
-// Guards against settings that do not reach the stand-in, a ready line printed
-// before it answers, and a process that ignores SIGTERM.
+// Guards against a process that ignores SIGTERM.
+func TestSignalStops(t *testing.T) {
+	stop, cancel := untilSignal()
+	defer cancel()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-stop.Done()
+}
+
+// Guards against settings that do not reach the stand-in and a ready line printed
+// before it answers.
 func TestEngineSettings(t *testing.T) {
 	t.Setenv("BASILLOOM_STANDIN_VERSIONS", "a,b")
 	line := run(t, "engine", "--role=prefill", "--cache-blocks=77")
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -80,8 +80,12 @@
 func (e *Engine) planStep() (duration time.Duration, poisoned bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.waiting) > 0 && e.admit(e.waiting[0]) {
-		if e.poisoned() {
+	for len(e.waiting) > 0 {
+		oldest := e.waiting[0]
+		if !e.admit(oldest) {
+			break
+		}
+		if e.poisoned(oldest) {
 			return 0, true
 		}
 	}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -191,15 +191,10 @@
 	}
 }
 
-// poisoned reports whether a running prompt crashes the engine.
-func (e *Engine) poisoned() bool {
+// poisoned reports whether an admitted request crashes the engine.
+func (e *Engine) poisoned(s *stream) bool {
 	marker := e.faults.PoisonMarker
-	if marker == "" {
-		return false
-	}
-	return slices.ContainsFunc(e.running, func(s *stream) bool {
-		return strings.Contains(s.prompt, marker)
-	})
+	return marker != "" && strings.Contains(s.prompt, marker)
 }
 
 func (e *Engine) versionFails(s *stream) bool {
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -74,6 +74,12 @@
 		require.Equal(t, []string{"v1"}, b.State().Versions)
 		require.Equal(t, 2, store.Stats().Fetches)
 		require.Equal(t, "v2", a.Stats().RequestVersions["x"])
+
+		for _, versions := range []string{`["v1","v3"]`, `["v1"]`, `["v1","v3"]`} {
+			require.Equal(t, 200, order(t, a, `{"fence":3,"versions":`+versions+`}`))
+		}
+		synctest.Wait()
+		require.Equal(t, []string{"v3"}, a.State().Loading, "the stopped load does not count")
 	})
 }
 
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -166,7 +166,7 @@
 	s.prompt = ""
 	e.cache.unpin(s.pinned)
 	e.private -= s.private
-	s.pinned, s.private = nil, 0
+	s.blocks, s.pinned, s.private = nil, nil, 0
 	s.notify()
 }
 
--- a/internal/standin/engine/stream_test.go
+++ b/internal/standin/engine/stream_test.go
@@ -141,6 +141,8 @@
 		require.InDelta(t, cold, other, float64(time.Millisecond))
 		require.EqualValues(t, 3200+1+3200, e.Stats().PrefillTokens)
 		require.EqualValues(t, 3200, e.Stats().CachedTokens)
+		firstToken("d", longPrompt("same", 50)+longPrompt("tail", 10))
+		require.EqualValues(t, 3200+1+3200+640, e.Stats().PrefillTokens)
 	})
 }
 
@@ -155,13 +157,18 @@
 		chatWhole(e, "a2", longPrompt("a", 10), 64)
 		require.EqualValues(t, computed+1, e.Stats().PrefillTokens, "the least recently used prompt is b")
 		require.LessOrEqual(t, get[Load](t, e, "/v1/load").CacheUsedBlocks, 25)
+		chatWhole(e, "long", longPrompt("a", 10)+longPrompt("tail", 10), 1)
+		chatWhole(e, "evicts", longPrompt("e", 10), 1)
+		computed = e.Stats().PrefillTokens
+		chatWhole(e, "a3", longPrompt("a", 10), 1)
+		require.EqualValues(t, computed+1, e.Stats().PrefillTokens, "a prompt's tail is evicted before its start")
 		w, _ := chatWhole(e, "d", longPrompt("d", 26), 1)
 		require.Equal(t, http.StatusBadRequest, w.Code)
 
 		go chatStream(t.Context(), e, "e", "p", 64*20)
 		synctest.Wait()
 		go chatStream(t.Context(), e, "f", "q", 64*20)
-		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
 		load := get[Load](t, e, "/v1/load")
 		require.Equal(t, []int{1, 1}, []int{load.Running, load.Waiting}, "both do not fit into memory")
 		time.Sleep(time.Minute)
@@ -172,8 +179,8 @@
 // Guards against prefill that costs other streams nothing, and against a queue
 // that serves short requests first.
 func TestPrefillDelaysOthersAndOrderIsArrival(t *testing.T) {
-	simulate(t, func(s *Settings) { s.BatchLimit = 2 }, func(t *testing.T, e *Engine) {
-		ended := make(chan string, 4)
+	simulate(t, func(s *Settings) { s.BatchLimit = 3 }, func(t *testing.T, e *Engine) {
+		ended := make(chan string, 6)
 		run := func(id, prompt string, tokens int) *timedWriter {
 			w, _ := chatStream(t.Context(), e, id, prompt, tokens)
 			ended <- id
@@ -182,19 +189,26 @@
 		var steady *timedWriter
 		go func() { steady = run("steady", "p", 200) }()
 		go run("full", "p", 50)
+		go run("full 2", "p", 55)
 		time.Sleep(500 * time.Millisecond)
-		go run("long", longPrompt("long", 60), 1)
-		synctest.Wait()
+		for _, id := range []string{"long", "long 2"} {
+			go run(id, longPrompt(id, 60), 1)
+			synctest.Wait()
+		}
 		go run("short", "q", 1)
 		time.Sleep(time.Minute)
-		require.Equal(t, []string{"full", "long", "short", "steady"}, []string{<-ended, <-ended, <-ended, <-ended})
+		var order []string
+		for range cap(ended) {
+			order = append(order, <-ended)
+		}
+		require.Equal(t, []string{"full", "full 2", "long", "long 2", "short", "steady"}, order)
 		synctest.Wait()
 		widest := time.Duration(0)
 		for i := 1; i < len(steady.times)-1; i++ {
 			widest = max(widest, steady.times[i].Sub(steady.times[i-1]))
 		}
 		require.Greater(t, widest, 40*time.Millisecond, "256 prompt tokens of a step take 32 ms")
-		require.Less(t, widest, 60*time.Millisecond, "the prompt is processed in chunks")
+		require.Less(t, widest, 60*time.Millisecond, "both prompts share the chunk of a step")
 	})
 }
 
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -86,10 +86,17 @@
 	for i := range data {
 		data[i] = byte(i * 7 / 3)
 	}
-	begin := time.Now()
-	require.Equal(t, data, exchange(t, dial(t, address), data))
-	require.GreaterOrEqual(t, time.Since(begin), 2*delay)
-	require.Equal(t, Stats{AToBBytes: 300_001, BToABytes: 300_001, Connections: 1}, l.Stats())
+	conn := dial(t, address)
+	for range 2 { // the first round trip includes the connection's set-up
+		begin := time.Now()
+		_, err := conn.Write([]byte("a"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, time.Since(begin), 2*delay)
+	}
+	require.Equal(t, data, exchange(t, conn, data))
+	require.Equal(t, Stats{AToBBytes: 300_003, BToABytes: 300_003, Connections: 1}, l.Stats())
 }
 
 // Guards against a bandwidth that each connection has for itself, which would
@@ -161,3 +168,25 @@
 	require.NoError(t, err)
 	require.ErrorContains(t, firstError(t, address), "reset")
 }
+
+// Guards against a crashed target that looks like a proper end of the answer.
+func TestTargetResetIsPassedOn(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	go func() {
+		if conn, err := target.Accept(); err == nil {
+			_, _ = conn.Read(make([]byte, 1))
+			reset(conn)
+		}
+	}()
+	l := New(Settings{})
+	t.Cleanup(l.Close)
+	address, err := l.Forward(AToB, "127.0.0.1:0", target.Addr().String())
+	require.NoError(t, err)
+	conn := dial(t, address)
+	_, err = conn.Write([]byte("a"))
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "reset")
+}
