--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"github.com/basilloom/basilloom/internal/standin/fault"
@@ -15,8 +16,8 @@
 }
 
 // Run serves until a signal.
-func (c *tableCommand) Run(out output) error {
-	return serve(out, "table", c.listenFlags, table.New(c.Name, fault.Settings{}))
+func (c *tableCommand) Run(ctx context.Context, out output) error {
+	return serve(ctx, out, "table", c.listenFlags, table.New(c.Name, fault.Settings{}))
 }
 
 type objectsCommand struct {
@@ -25,8 +26,8 @@
 }
 
 // Run serves until a signal.
-func (c *objectsCommand) Run(out output) error {
-	return serve(out, "objects", c.listenFlags, objects.New(c.Bucket, fault.Settings{}))
+func (c *objectsCommand) Run(ctx context.Context, out output) error {
+	return serve(ctx, out, "objects", c.listenFlags, objects.New(c.Bucket, fault.Settings{}))
 }
 
 type instancesCommand struct {
@@ -35,6 +36,6 @@
 }
 
 // Run serves until a signal.
-func (c *instancesCommand) Run(out output) error {
-	return serve(out, "instances", c.listenFlags, instances.New(c.Lag, fault.Settings{}))
+func (c *instancesCommand) Run(ctx context.Context, out output) error {
+	return serve(ctx, out, "instances", c.listenFlags, instances.New(c.Lag, fault.Settings{}))
 }
