scheduler: leave room for the mean error of first-token estimates

Cause: in overload most grants happen near the last useful moment, where half of the estimates are too short: the prefill is spent and the token is late. A served request without times also made its target look instant, and one outlying request could eject a target for its speed.

--- a/scheduler/cancel.go
+++ b/scheduler/cancel.go
@@ -103,6 +103,10 @@
 	if g.hasLiveVictim(w) {
 		return nil, false
 	}
+	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict != VerdictClean {
+		// One free slot does not help a suspect, which needs an idle target.
+		return nil, false
+	}
 	for _, tier := range slices.Backward(g.victims) {
 		if tier.rank <= w.ticket.Tier {
 			break
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -21,10 +21,11 @@
 	loadSpread = 10 * time.Millisecond
 )
 
-// estimate is what running a ticket on a target is expected to take, in seconds.
+// estimate is what running a ticket on a target is expected to take; times in seconds.
 type estimate struct {
 	cost    float64
 	wait    float64
+	first   float64
 	prefill float64
 	total   float64
 	// inTime tells that the first token meets the deadline, inTimeIdle that it
@@ -49,9 +50,17 @@
 	spread := loadSpread.Seconds() * float64(load) / float64(s.limiter.limit())
 	e.cost = e.total + x.penalty + spread + (g.cfg.PrefillWeight-1)*e.prefill
 	left := t.Deadline.Sub(now).Seconds() - x.seconds
-	trust := s.speed.trust(now)
-	e.inTimeIdle = trust*first <= left
-	e.inTime = trust*(e.wait+first) <= left
+	e.first = e.wait + first
+	// Without the mean error about half of the tickets that are granted at the
+	// last moment would spend their prefill and still be late.
+	left -= s.speed.error
+	e.inTime = e.first <= left
+	e.inTimeIdle = e.inTime
+	if !e.inTime {
+		trust := s.speed.trust(now)
+		e.inTimeIdle = trust*first <= left
+		e.inTime = trust*e.first <= left
+	}
 	return e
 }
 
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -115,7 +115,7 @@
 	g.unreserve(w)
 	r := &run{
 		ticket: w.ticket, target: s, granted: now, batch: s.load(now) + 1,
-		expected: seconds(e.total), wait: seconds(e.wait), prefill: seconds(e.prefill),
+		expected: seconds(e.total), wait: seconds(e.wait), prefill: seconds(e.prefill), firstToken: seconds(e.first),
 	}
 	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict == VerdictSuspect {
 		r.alone = true
--- a/scheduler/floor.go
+++ b/scheduler/floor.go
@@ -197,6 +197,13 @@
 	return g.decide(now)
 }
 
+// SetSiblings replaces the sibling shards.
+func (g *Group) SetSiblings(now time.Time, shards []int) []Decision {
+	g.now = now
+	g.floor.setSiblings(shards)
+	return g.decide(now)
+}
+
 // Floor returns the strictest floor accepted from a sibling: tiers with a rank
 // above it are shut out.
 func (g *Group) Floor(now time.Time) (Rank, bool) {
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -69,8 +69,9 @@
 	// reclaimed is when the unused grant was taken back.
 	reclaimed time.Time
 	// expected is the estimated time of the whole request, wait the part behind
-	// other prompts, prefill the part of its own prompt.
-	expected, wait, prefill time.Duration
+	// other prompts, prefill the part of its own prompt, firstToken that of both
+	// and the overhead.
+	expected, wait, prefill, firstToken time.Duration
 	// batch is the number of requests on the target at the grant.
 	batch int
 	// older and newer are the neighbours among the tier's cancellable requests.
@@ -321,6 +322,10 @@
 	s := r.target
 	g.quarantine.Served(now, r.ticket.Fingerprint)
 	batch := (r.batch + s.running + 1) / 2
+	if c.PromptTokens == 0 {
+		c.PromptTokens = r.ticket.PromptTokens
+	}
+	s.speed.check(r.firstToken, c.FirstToken)
 	slowness := s.speed.observe(now, c, r.wait, batch)
 	s.health.served(now, c.ID, slowness, g.rng)
 	if interval, ok := tokenInterval(c); ok && !s.Service {
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -92,6 +92,9 @@
 
 // age reports whether the entry was not confirmed since a gap, and whether it still counts.
 func (x *prefixIndex) age(now time.Time, e *indexEntry) (aged, alive bool) {
+	if len(x.gaps) == 0 && x.dropBefore.IsZero() {
+		return false, true
+	}
 	for len(x.gaps) > 0 && now.Sub(x.gaps[0]) > gapMemory {
 		x.dropBefore = x.gaps[0]
 		x.gaps = x.gaps[1:]
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -28,8 +28,13 @@
 	// time without a measurement. Otherwise one slow spell could refuse every
 	// request, and with them the measurements that would end it.
 	staleEstimate = 30 * time.Second
+	// errorWeight is the weight of a new sample in the mean error of estimates.
+	errorWeight = 0.1
 	// slownessWeight is the weight of a new sample in a target's slowness.
 	slownessWeight = 0.2
+	// maxSlownessJump bounds a sample by the slowness so far, minSlowness keeps it above 0.
+	maxSlownessJump = 10
+	minSlowness     = 0.01
 )
 
 // fit is a line through exponentially weighted samples, by least squares.
@@ -84,6 +89,9 @@
 	known bool
 	// measured is the time of the last measurement, at first of the configuration.
 	measured time.Time
+	// error is the mean difference, in seconds, between a first token's estimate
+	// and its time.
+	error float64
 	// slowness is measured time over the initial estimate's, so that hardware
 	// generations with different configured speeds compare.
 	slowness float64
@@ -135,10 +143,19 @@
 	s.measured = now
 	s.samples++
 	ratio := (c.Total.Seconds() - math.Min(wait.Seconds(), first)) / expected
-	s.slowness += slownessWeight * (ratio - s.slowness)
+	// One request of an outlying length must not make an outlier of its target.
+	sample := math.Min(ratio, maxSlownessJump*s.slowness)
+	s.slowness = math.Max(minSlowness, s.slowness+slownessWeight*(sample-s.slowness))
 	return ratio
 }
 
+// check compares an estimate of a first token with its time.
+func (s *speed) check(estimated, measured time.Duration) {
+	if measured > 0 {
+		s.error += errorWeight * ((estimated - measured).Abs().Seconds() - s.error)
+	}
+}
+
 // forgetSlowness has an ejected target judged anew after its probe.
 func (s *speed) forgetSlowness() {
 	s.slowness, s.samples = 1, 0
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -114,6 +114,10 @@
 // report and the group's own count at the time of the report is taken over, so
 // a lagging report erases no later grant.
 func (s *targetState) observeLoad(now time.Time, r LoadReport) {
+	if r.AsOf.After(now) {
+		// A clock that is ahead must not make the next reports look outdated.
+		r.AsOf = now
+	}
 	if r.AsOf.Before(s.reported) || now.Sub(r.AsOf) > reportValidity {
 		return
 	}
