scheduler: time of service calls, stale foreign load of dead targets

Cause: services have no tokens, so their expected time was that of a first token; a call of a few seconds made its target look hanging. A dead target kept the foreign load of its last report.

Ruled out: a fixed expected time for services; calls differ by route, and the mean of what was measured also tells fast replicas from slow ones.

Conclusion: the hanging check applies to services with their own mean.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -47,6 +47,9 @@
 	first := s.speed.firstTokenSeconds(uncached)
 	x := g.transferTo(now, t, s.Region)
 	e.total = x.seconds + e.wait + first + s.speed.decodeSeconds(t.OutputTokens, load+1)
+	if s.Service {
+		e.total = max(e.total, x.seconds+s.speed.total)
+	}
 	spread := loadSpread.Seconds() * float64(load) / float64(s.limiter.limit())
 	e.cost = e.total + x.penalty + spread + (g.cfg.PrefillWeight-1)*e.prefill
 	left := t.Deadline.Sub(now).Seconds() - x.seconds
--- a/scheduler/floor.go
+++ b/scheduler/floor.go
@@ -190,7 +190,9 @@
 }
 
 // SetSiblingReachable records whether the broker can reach a sibling. No
-// acknowledgement is awaited from an unreachable one.
+// acknowledgement is awaited from an unreachable one. When the sibling's broker
+// changes, call it with false and then true: the successor does not know the
+// floors that its predecessor accepted.
 func (g *Group) SetSiblingReachable(now time.Time, shard int, reachable bool) []Decision {
 	g.now = now
 	g.floor.setReachable(shard, reachable)
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -303,6 +303,7 @@
 		s.health.failed(now, r, true, g.rng)
 		s.index.clear()
 		s.prefillEnd = now
+		s.foreign = 0
 	case ResultNotDispatched:
 		s.index.undo(r.granted, r.ticket.Prefix)
 		s.prefillEnd = s.prefillEnd.Add(-r.prefill)
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -28,7 +28,8 @@
 	// time without a measurement. Otherwise one slow spell could refuse every
 	// request, and with them the measurements that would end it.
 	staleEstimate = 30 * time.Second
-	// errorWeight is the weight of a new sample in the mean error of estimates.
+	// errorWeight is the weight of a new sample in the mean error of estimates
+	// and in the mean time of a request.
 	errorWeight = 0.1
 	// slownessWeight is the weight of a new sample in a target's slowness.
 	slownessWeight = 0.2
@@ -92,6 +93,9 @@
 	// error is the mean difference, in seconds, between a first token's estimate
 	// and its time.
 	error float64
+	// total is the mean time of a whole request, in seconds; calls of services
+	// have no tokens to estimate it from.
+	total float64
 	// slowness is measured time over the initial estimate's, so that hardware
 	// generations with different configured speeds compare.
 	slowness float64
@@ -142,6 +146,10 @@
 	s.known = true
 	s.measured = now
 	s.samples++
+	if s.total == 0 {
+		s.total = c.Total.Seconds()
+	}
+	s.total += errorWeight * (c.Total.Seconds() - s.total)
 	ratio := (c.Total.Seconds() - math.Min(wait.Seconds(), first)) / expected
 	// One request of an outlying length must not make an outlier of its target.
 	sample := math.Min(ratio, maxSlownessJump*s.slowness)
