--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -71,14 +71,12 @@
 		}},
 		"failed to reach": {targets: alike, ticket: func(t *Ticket) { t.Avoid = []string{"a"} }, want: "b"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(c.cfg, c.targets...)
-			if c.before != nil {
-				c.before(g)
-			}
-			decisions := g.Submit(t0, testTicket(2, c.ticket))
-			require.Equal(t, c.want, decisions[0].(Grant).Target)
-		})
+		g := testGroup(c.cfg, c.targets...)
+		if c.before != nil {
+			c.before(g)
+		}
+		decisions := g.Submit(t0, testTicket(2, c.ticket))
+		require.Equal(t, c.want, decisions[0].(Grant).Target, name)
 	}
 }
 
@@ -128,51 +126,47 @@
 // Guards against stale or unbounded knowledge of a prefix cache. Each script
 // starts with 16 blocks in the index and ends with the tokens that it must report.
 func TestPrefixIndex(t *testing.T) {
+	type index = prefixIndex
 	hashes := testPrefix(1, 16)
-	stored := func(sequence int64, blocks ...uint64) []CacheEvent {
-		return []CacheEvent{{Sequence: sequence, Kind: CacheStored, Blocks: blocks}}
+	event := func(sequence int64, kind CacheEventKind, blocks ...uint64) []CacheEvent {
+		return []CacheEvent{{Sequence: sequence, Kind: kind, Blocks: blocks}}
 	}
+	gap := func(x *index) { x.observe(t0.Add(1), event(5, CacheStored, 99)) }
 	for name, c := range map[string]struct {
-		script func(x *prefixIndex)
+		script func(x *index)
 		after  time.Duration
 		want   int
 	}{
-		"kept": {func(*prefixIndex) {}, time.Hour, 1024},
-		"removed": {func(x *prefixIndex) {
-			x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheRemoved, Blocks: hashes[4:]}})
-		}, 0, 512},
-		"start removed": {func(x *prefixIndex) {
-			x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheRemoved, Blocks: hashes[:1]}})
-		}, 0, 0},
-		"cleared":         {func(x *prefixIndex) { x.observe(t0, []CacheEvent{{Sequence: 2, Kind: CacheCleared}}) }, 0, 0},
-		"gap halves":      {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)) }, time.Second, 512},
-		"gap drops":       {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)) }, 61 * time.Second, 0},
-		"gap, confirmed":  {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)); x.observe(t0.Add(2), stored(6, hashes...)) }, time.Second, 1024},
-		"gap, dispatched": {func(x *prefixIndex) { x.observe(t0.Add(1), stored(5, 99)); x.dispatched(t0.Add(2), hashes[:3]) }, time.Second, 512},
-		"two gaps": {func(x *prefixIndex) {
-			x.observe(t0.Add(1), stored(5, 99))
-			x.observe(t0.Add(50*time.Second), stored(9, 99))
-		}, 61 * time.Second, 0},
-		"repeated event":         {func(x *prefixIndex) { x.observe(t0.Add(1), stored(1, 99)); x.observe(t0.Add(2), stored(2, 98)) }, time.Second, 1024},
-		"restarted":              {func(x *prefixIndex) { x.observe(t0, stored(2, 99)); x.observe(t0.Add(1), stored(1, 98)) }, 0, 0},
-		"own limit":              {func(x *prefixIndex) { x.setLimit(12); x.dispatched(t0, testPrefix(2, 2048)) }, 0, 0},
-		"target's memory":        {func(x *prefixIndex) { x.setCacheBlocks(20); x.dispatched(t0, testPrefix(2, 8)) }, 0, 512},
-		"events do not displace": {func(x *prefixIndex) { x.setLimit(12); x.observe(t0, stored(2, 91, 92, 93, 94, 95, 96, 97, 98, 99)) }, 0, 1024},
-		"grant not used":         {func(x *prefixIndex) { x.dispatched(t0.Add(1), hashes[3:]); x.undo(t0.Add(1), hashes[3:]) }, 0, 256},
+		"kept":            {func(*index) {}, time.Hour, 1024},
+		"removed":         {func(x *index) { x.observe(t0, event(2, CacheRemoved, hashes[4:]...)) }, 0, 512},
+		"start removed":   {func(x *index) { x.observe(t0, event(2, CacheRemoved, hashes[:1]...)) }, 0, 0},
+		"cleared":         {func(x *index) { x.observe(t0, event(2, CacheCleared)) }, 0, 0},
+		"gap halves":      {gap, time.Second, 512},
+		"gap drops":       {gap, 61 * time.Second, 0},
+		"gap, confirmed":  {func(x *index) { gap(x); x.observe(t0.Add(2), event(6, CacheStored, hashes...)) }, time.Second, 1024},
+		"gap, dispatched": {func(x *index) { gap(x); x.dispatched(t0.Add(2), hashes[:3]) }, time.Second, 512},
+		"two gaps":        {func(x *index) { gap(x); x.observe(t0.Add(50*time.Second), event(9, CacheStored, 99)) }, 61 * time.Second, 0},
+		"repeated event":  {func(x *index) { x.observe(t0, event(1, CacheStored, 99)); x.observe(t0, event(2, CacheStored, 98)) }, time.Second, 1024},
+		"restarted":       {func(x *index) { x.observe(t0, event(2, CacheStored, 99)); x.observe(t0, event(1, CacheStored, 98)) }, 0, 0},
+		"own limit":       {func(x *index) { x.setLimit(12); x.dispatched(t0, testPrefix(2, 2048)) }, 0, 0},
+		"target's memory": {func(x *index) { x.setCacheBlocks(20); x.dispatched(t0, testPrefix(2, 8)) }, 0, 512},
+		"many events": {func(x *index) {
+			x.setLimit(12)
+			x.observe(t0, event(2, CacheStored, 91, 92, 93, 94, 95, 96, 97, 98, 99))
+		}, 0, 1024},
+		"grant not used": {func(x *index) { x.dispatched(t0.Add(1), hashes[3:]); x.undo(t0.Add(1), hashes[3:]) }, 0, 256},
 	} {
-		t.Run(name, func(t *testing.T) {
-			shared := make(holders)
-			x := newPrefixIndex(&targetState{}, shared)
-			x.observe(t0, stored(1, 7))
-			x.dispatched(t0, hashes)
-			c.script(x)
-			require.Equal(t, c.want, x.match(t0.Add(c.after), hashes))
-			require.Len(t, shared, len(x.entries))
-			require.Equal(t, len(x.entries), x.used.Len()+x.announced.Len())
-			x.clear()
-			require.Empty(t, shared)
-			require.Zero(t, x.blocks)
-		})
+		shared := make(holders)
+		x := newPrefixIndex(&targetState{}, shared)
+		x.observe(t0, event(1, CacheStored, 7))
+		x.dispatched(t0, hashes)
+		c.script(x)
+		require.Equal(t, c.want, x.match(t0.Add(c.after), hashes), name)
+		require.Len(t, shared, len(x.entries), name)
+		require.Equal(t, len(x.entries), x.used.Len()+x.announced.Len(), name)
+		x.clear()
+		require.Empty(t, shared, name)
+		require.Zero(t, x.blocks, name)
 	}
 }
 
--- a/scheduler/floor_test.go
+++ b/scheduler/floor_test.go
@@ -22,39 +22,29 @@
 // tier (invariant 2).
 func TestFloorBeforeShedding(t *testing.T) {
 	ask := FloorRequest{Highest: 2, ValidFor: FloorValidity, Siblings: []int{1, 2}}
-	refuse := func(n int) Decision { return Refuse{testID(n), ReasonQueueFull, 4 * time.Second} }
+	shed := []Decision{Refuse{testID(3), ReasonQueueFull, 4 * time.Second}}
+	const none Rank = -1
 	for name, c := range map[string]struct {
-		script func(g *Group) []Decision
-		want   []Decision
+		first, second Rank
+		valid         time.Duration
+		unreachable   bool
+		want          []Decision
 	}{
-		"no acknowledgement": {script: func(*Group) []Decision { return nil }},
-		"one of two":         {script: func(g *Group) []Decision { return g.FloorAcked(t0, 1, 2, time.Second) }},
-		"both": {script: func(g *Group) []Decision {
-			g.FloorAcked(t0, 1, 2, time.Second)
-			return g.FloorAcked(t0, 2, 2, time.Second)
-		}, want: []Decision{refuse(3)}},
-		"stricter than needed": {script: func(g *Group) []Decision {
-			g.FloorAcked(t0, 1, 0, time.Second)
-			return g.FloorAcked(t0, 2, 2, time.Second)
-		}, want: []Decision{refuse(3)}},
-		"too lax": {script: func(g *Group) []Decision {
-			g.FloorAcked(t0, 1, 3, time.Second)
-			return g.FloorAcked(t0, 2, 2, time.Second)
-		}},
-		"one ran out": {script: func(g *Group) []Decision {
-			g.FloorAcked(t0, 1, 2, time.Millisecond)
-			return g.FloorAcked(t0.Add(2*time.Millisecond), 2, 2, time.Second)
-		}},
-		"other unreachable": {script: func(g *Group) []Decision {
-			g.FloorAcked(t0, 1, 2, time.Second)
-			return g.SetSiblingReachable(t0, 2, false)
-		}, want: []Decision{refuse(3)}},
+		"one of two":           {2, none, time.Second, false, nil},
+		"both":                 {2, 2, time.Second, false, shed},
+		"stricter than needed": {0, 2, time.Second, false, shed},
+		"too lax":              {3, 2, time.Second, false, nil},
+		"one ran out":          {2, 2, time.Millisecond, false, nil},
+		"other unreachable":    {2, none, time.Second, true, shed},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := floorGroup(0, 1, 2)
-			require.Equal(t, []Decision{ask}, g.Submit(t0, testTicket(3, onTier(2))))
-			require.Equal(t, c.want, c.script(g))
-		})
+		g := floorGroup(0, 1, 2)
+		require.Equal(t, []Decision{ask}, g.Submit(t0, testTicket(3, onTier(2))), name)
+		require.Empty(t, g.FloorAcked(t0, 1, c.first, c.valid), name)
+		got := g.SetSiblingReachable(t0, 2, !c.unreachable)
+		if c.second != none {
+			got = g.FloorAcked(t0.Add(2*time.Millisecond), 2, c.second, time.Second)
+		}
+		require.Equal(t, c.want, got, name)
 	}
 	require.IsType(t, Refuse{}, floorGroup(2, 1).Submit(t0, testTicket(3, onTier(2)))[0], "the lowest tier needs no floor")
 	g := floorGroup(0, 1)
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -104,19 +104,17 @@
 		"equal tier is new": {[]Rank{1, 1, 1, 1}, 1, 4},
 		"a single lower":    {[]Rank{1, 0, 0, 0}, 0, 0},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{QueueLimit: len(c.waiting)}, Target{Name: "x", Concurrency: 1})
-			g.Submit(t0, testTicket(99, nil))
-			for i, tier := range c.waiting {
-				require.Empty(t, g.Submit(t0, testTicket(i, onTier(tier))))
-			}
-			decisions := g.Submit(t0, testTicket(len(c.waiting), onTier(c.arrives)))
-			require.Len(t, decisions, 1)
-			refusal := decisions[0].(Refuse)
-			require.Equal(t, testID(c.want), refusal.Ticket)
-			require.Equal(t, ReasonQueueFull, refusal.Reason)
-			require.GreaterOrEqual(t, refusal.RetryAfter, time.Second, "5 tickets of about 1 s each are ahead")
-		})
+		g := testGroup(GroupConfig{QueueLimit: len(c.waiting)}, Target{Name: "x", Concurrency: 1})
+		g.Submit(t0, testTicket(99, nil))
+		for i, tier := range c.waiting {
+			require.Empty(t, g.Submit(t0, testTicket(i, onTier(tier))), name)
+		}
+		decisions := g.Submit(t0, testTicket(len(c.waiting), onTier(c.arrives)))
+		require.Len(t, decisions, 1, name)
+		refusal := decisions[0].(Refuse)
+		require.Equal(t, testID(c.want), refusal.Ticket, name)
+		require.Equal(t, ReasonQueueFull, refusal.Reason, name)
+		require.GreaterOrEqual(t, refusal.RetryAfter, time.Second, "5 tickets of about 1 s each are ahead")
 	}
 }
 
@@ -124,52 +122,49 @@
 // repeated or late. After each script one slot of two must be in use or free as told.
 func TestCountsSurviveMessages(t *testing.T) {
 	late := t0.Add(GrantValidity + time.Millisecond)
+	tick := func(now time.Time) func(*Group) { return func(g *Group) { g.Tick(now) } }
+	submit := func(n int) func(*Group) { return func(g *Group) { g.Submit(t0, testTicket(n, nil)) } }
+	adopt := func(n int) func(*Group) {
+		return func(g *Group) { g.Adopt(t0, testTicket(n, nil), "x", time.Second) }
+	}
+	dispatched := func(g *Group) { g.Dispatched(t0, testID(1)) }
+	complete := func(g *Group) { g.Complete(t0, served(1)) }
+	expire, minute := tick(late), tick(t0.Add(time.Minute))
+	gone := func(g *Group) { g.EntryGone(t0, "i", 1) }
+	remove := func(g *Group) { g.SetTargets(t0, nil) }
+	back := func(g *Group) { g.SetTargets(t0, []Target{{Name: "x", Concurrency: 2}}) }
 	for name, c := range map[string]struct {
-		script  func(g *Group)
+		script  []func(*Group)
 		running int
 	}{
-		"submitted twice":          {func(g *Group) { g.Submit(t0, testTicket(1, nil)) }, 1},
-		"unused grant":             {func(g *Group) { g.Tick(late) }, 0},
-		"used grant":               {func(g *Group) { g.Dispatched(t0, testID(1)); g.Tick(late) }, 1},
-		"completion after reclaim": {func(g *Group) { g.Tick(late); g.Complete(late, served(1)) }, 0},
-		"dispatched after reclaim": {func(g *Group) { g.Tick(late); g.Dispatched(late, testID(1)) }, 1},
-		"both after reclaim":       {func(g *Group) { g.Tick(late); g.Complete(late, served(1)); g.Dispatched(late, testID(1)) }, 0},
-		"completed twice":          {func(g *Group) { g.Complete(t0, served(1)); g.Complete(t0, served(1)) }, 0},
-		"submitted after reclaim":  {func(g *Group) { g.Tick(late); g.Submit(late, testTicket(1, nil)) }, 1},
-		"entry gone, unused":       {func(g *Group) { g.EntryGone(t0, "i", 1) }, 0},
-		"entry gone, then returns": {func(g *Group) {
-			g.Dispatched(t0, testID(1))
-			g.EntryGone(t0, "i", 1)
-			g.Adopt(t0, testTicket(1, nil), "x", 0)
-			g.Tick(t0.Add(time.Minute))
-		}, 1},
-		"entry gone for good":    {func(g *Group) { g.Dispatched(t0, testID(1)); g.EntryGone(t0, "i", 1); g.Tick(t0.Add(time.Minute)) }, 0},
-		"other incarnation gone": {func(g *Group) { g.EntryGone(t0, "i", 2) }, 1},
-		"adopted":                {func(g *Group) { g.Adopt(t0, testTicket(2, nil), "x", time.Second); g.Tick(late) }, 1},
-		"adopted while waiting": {func(g *Group) {
-			g.Submit(t0, testTicket(2, nil))
-			g.Submit(t0, testTicket(3, nil))
-			g.Adopt(t0, testTicket(3, nil), "x", 0)
-		}, 3},
-		"target removed and back": {func(g *Group) { g.SetTargets(t0, nil); g.SetTargets(t0, []Target{{Name: "x", Concurrency: 2}}) }, 1},
-		"dispatched, target removed": {func(g *Group) {
-			g.Tick(late)
-			g.SetTargets(late, nil)
-			g.Dispatched(late, testID(1))
-			g.SetTargets(late, []Target{{Name: "x"}})
-		}, 1},
+		"submitted twice":            {[]func(*Group){submit(1)}, 1},
+		"unused grant":               {[]func(*Group){expire}, 0},
+		"used grant":                 {[]func(*Group){dispatched, expire}, 1},
+		"completion after reclaim":   {[]func(*Group){expire, complete}, 0},
+		"dispatched after reclaim":   {[]func(*Group){expire, dispatched}, 1},
+		"both after reclaim":         {[]func(*Group){expire, complete, dispatched}, 0},
+		"completed twice":            {[]func(*Group){complete, complete}, 0},
+		"submitted after reclaim":    {[]func(*Group){expire, submit(1)}, 1},
+		"entry gone, unused":         {[]func(*Group){gone}, 0},
+		"entry gone, then returns":   {[]func(*Group){dispatched, gone, adopt(1), minute}, 1},
+		"entry gone for good":        {[]func(*Group){dispatched, gone, minute}, 0},
+		"other incarnation gone":     {[]func(*Group){func(g *Group) { g.EntryGone(t0, "i", 2) }}, 1},
+		"adopted":                    {[]func(*Group){adopt(2), expire}, 1},
+		"adopted while waiting":      {[]func(*Group){submit(2), submit(3), adopt(3)}, 3},
+		"target removed and back":    {[]func(*Group){remove, back}, 1},
+		"dispatched, target removed": {[]func(*Group){expire, remove, dispatched, back}, 1},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 2})
-			require.Len(t, g.Submit(t0, testTicket(1, nil)), 1)
-			c.script(g)
-			require.Equal(t, c.running, g.Snapshot()[0].Running)
-			require.Len(t, g.running, c.running)
-			for id := range g.running {
-				g.Complete(late, Completion{ID: id, Result: ResultServed})
-			}
-			require.Zero(t, g.Snapshot()[0].Running)
-		})
+		g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 2})
+		require.Len(t, g.Submit(t0, testTicket(1, nil)), 1, name)
+		for _, step := range c.script {
+			step(g)
+		}
+		require.Equal(t, c.running, g.Snapshot()[0].Running, name)
+		require.Len(t, g.running, c.running, name)
+		for id := range g.running {
+			g.Complete(late, Completion{ID: id, Result: ResultServed})
+		}
+		require.Zero(t, g.Snapshot()[0].Running, name)
 	}
 }
 
@@ -197,25 +192,23 @@
 		"no version yet":         {target: slow, ticket: versioned, after: 1990 * time.Millisecond},
 		"no version":             {target: slow, ticket: versioned, after: 2001 * time.Millisecond, want: "no_target"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{}, c.target)
-			if c.busy {
-				g.Submit(t0, testTicket(1, nil))
-				g.Dispatched(t0, testID(1))
-			}
-			decisions := g.Submit(t0.Add(c.submit), testTicket(2, c.ticket))
-			decisions = append(decisions, g.Tick(t0.Add(c.submit+c.after))...)
-			got := ""
-			for _, d := range decisions {
-				if refusal, ok := d.(Refuse); ok {
-					got = string(refusal.Reason)
-					require.Positive(t, refusal.RetryAfter)
-				} else {
-					got = "granted"
-				}
+		g := testGroup(GroupConfig{}, c.target)
+		if c.busy {
+			g.Submit(t0, testTicket(1, nil))
+			g.Dispatched(t0, testID(1))
+		}
+		decisions := g.Submit(t0.Add(c.submit), testTicket(2, c.ticket))
+		decisions = append(decisions, g.Tick(t0.Add(c.submit+c.after))...)
+		got := ""
+		for _, d := range decisions {
+			if refusal, ok := d.(Refuse); ok {
+				got = string(refusal.Reason)
+				require.Positive(t, refusal.RetryAfter, name)
+			} else {
+				got = "granted"
 			}
-			require.Equal(t, c.want, got)
-		})
+		}
+		require.Equal(t, c.want, got, name)
 	}
 }
 
@@ -281,15 +274,13 @@
 		"an end under way":        {2050, 2, 0, 1},
 		"second still under way":  {1050, 1, 0, 2},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{}, Target{Name: "x"})
-			g.Submit(at(0), testTicket(1, nil))
-			g.Submit(at(1000), testTicket(2, nil))
-			if name == "an end under way" {
-				g.Complete(at(2000), ended(1, ResultServed))
-			}
-			g.ObserveLoad(at(2100), LoadReport{Target: "x", AsOf: at(c.asOf), Running: c.running, Waiting: c.waiting})
-			require.Equal(t, c.want, g.targets["x"].load(at(2100)))
-		})
+		g := testGroup(GroupConfig{}, Target{Name: "x"})
+		g.Submit(at(0), testTicket(1, nil))
+		g.Submit(at(1000), testTicket(2, nil))
+		if name == "an end under way" {
+			g.Complete(at(2000), ended(1, ResultServed))
+		}
+		g.ObserveLoad(at(2100), LoadReport{Target: "x", AsOf: at(c.asOf), Running: c.running, Waiting: c.waiting})
+		require.Equal(t, c.want, g.targets["x"].load(at(2100)), name)
 	}
 }
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -27,18 +27,16 @@
 		"cancellations":                {results: []Result{ResultCancelled, ResultCancelled, ResultCancelled}, want: HealthGood},
 		"unused grants":                {results: []Result{ResultNotDispatched, ResultNotDispatched, ResultNotDispatched}, want: HealthGood},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{}, Target{Name: "a"})
-			for i, result := range c.results {
-				g.Submit(t0, testTicket(i, func(t *Ticket) {
-					if c.same {
-						t.Fingerprint = 1
-					}
-				}))
-				g.Complete(t0, ended(i, result))
-			}
-			require.Equal(t, c.want, healthOf(g, "a"))
-		})
+		g := testGroup(GroupConfig{}, Target{Name: "a"})
+		for i, result := range c.results {
+			g.Submit(t0, testTicket(i, func(t *Ticket) {
+				if c.same {
+					t.Fingerprint = 1
+				}
+			}))
+			g.Complete(t0, ended(i, result))
+		}
+		require.Equal(t, c.want, healthOf(g, "a"), name)
 	}
 	g := testGroup(GroupConfig{}, Target{Name: "a"}, Target{Name: "b"})
 	for i := range ejectFailures {
@@ -142,20 +140,18 @@
 		"a little late":           {after: 5 * time.Second, want: HealthGood},
 		"answers others":          {after: time.Minute, other: true, want: HealthGood},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := testGroup(GroupConfig{}, Target{Name: "a", DecodeTokensPerSecond: 50})
-			g.Submit(t0, testTicket(1, nil))
-			g.Dispatched(t0, testID(1))
-			now := t0.Add(c.after)
-			if c.other {
-				g.Submit(now, testTicket(2, nil))
-				g.Complete(now, ended(2, ResultServed))
-			}
-			g.Tick(now)
-			require.Equal(t, c.want, healthOf(g, "a"))
-			g.Complete(now, ended(1, ResultServed))
-			require.Equal(t, HealthGood, healthOf(g, "a"), "a late answer clears the suspicion")
-		})
+		g := testGroup(GroupConfig{}, Target{Name: "a", DecodeTokensPerSecond: 50})
+		g.Submit(t0, testTicket(1, nil))
+		g.Dispatched(t0, testID(1))
+		now := t0.Add(c.after)
+		if c.other {
+			g.Submit(now, testTicket(2, nil))
+			g.Complete(now, ended(2, ResultServed))
+		}
+		g.Tick(now)
+		require.Equal(t, c.want, healthOf(g, "a"), name)
+		g.Complete(now, ended(1, ResultServed))
+		require.Equal(t, HealthGood, healthOf(g, "a"), "a late answer clears the suspicion")
 	}
 }
 
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -33,7 +33,7 @@
 	g       *Group
 	now     time.Time
 	tickets []*modelTicket
-	targets []Target
+	targets map[string]Target
 	// failures adds results that eject targets; probes then break the tier order.
 	failures bool
 }
@@ -134,13 +134,15 @@
 }
 
 func (m *groupModel) setTargets(t *rapid.T) {
-	m.targets = nil
+	m.targets = make(map[string]Target)
+	var list []Target
 	for _, name := range []string{"a", "b", "c"} {
 		if rapid.Bool().Draw(t, name) {
-			m.targets = append(m.targets, Target{Name: name, Concurrency: rapid.IntRange(1, 3).Draw(t, "limit"), Leaving: rapid.Bool().Draw(t, "leaving")})
+			m.targets[name] = Target{Name: name, Concurrency: rapid.IntRange(1, 3).Draw(t, "limit"), Leaving: rapid.Bool().Draw(t, "leaving")}
+			list = append(list, m.targets[name])
 		}
 	}
-	m.apply(m.g.SetTargets(m.now, m.targets))
+	m.apply(m.g.SetTargets(m.now, list))
 }
 
 // entryGone ends the entry's stream; it returns at once with what it has dispatched.
@@ -199,14 +201,9 @@
 	for _, other := range m.in(modelWaiting) {
 		require.True(m.t, m.failures || other.Tier >= k.Tier, "granted before a higher tier")
 	}
-	for _, target := range m.targets {
-		if target.Name == k.target {
-			require.False(m.t, target.Leaving, "granted a leaving target")
-			require.LessOrEqual(m.t, m.running()[k.target], target.Concurrency)
-			return
-		}
-	}
-	m.t.Fatalf("granted the unknown target %s", k.target)
+	target, ok := m.targets[k.target]
+	require.True(m.t, ok && !target.Leaving, "granted a target that is leaving or gone")
+	require.LessOrEqual(m.t, m.running()[k.target], target.Concurrency)
 }
 
 func (m *groupModel) running() map[string]int {
