--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -250,6 +250,11 @@
 		require.Empty(t, g.Tick(late.Add(20*time.Millisecond)), "one cancellation for a ticket")
 		freed := g.Complete(late.Add(30*time.Millisecond), Completion{ID: testID(3), Result: ResultCancelled})
 		require.Equal(t, testID(10), freed[0].(Grant).Ticket)
+
+		g = group(10)
+		g.Submit(t0, testTicket(10, soon(3)))
+		require.Empty(t, g.Tick(late), "not for an equal or lower tier")
+		require.IsType(t, Refuse{}, g.Tick(late.Add(200 * time.Millisecond))[0])
 	})
 	t.Run("before a full queue sheds", func(t *testing.T) {
 		g := group(1)
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -182,6 +182,12 @@
 			for _, other := range m.in(modelWaiting) {
 				require.False(m.t, d.Reason == ReasonQueueFull && other.Tier > k.Tier, "shed before a lower tier")
 			}
+			for _, other := range m.in(modelRunning) {
+				target := m.targets[other.target]
+				usable := target.Name != "" && !target.Leaving && m.g.targets[other.target].load(m.now) <= target.Concurrency
+				victim := usable && other.Cancellable && !other.cancelled && other.Tier > k.Tier
+				require.False(m.t, d.Reason == ReasonQueueFull && victim && !m.failures, "shed before work was cancelled")
+			}
 		case Cancel:
 			k := m.tickets[d.Ticket.Sequence]
 			require.True(m.t, k.state == modelRunning && k.Cancellable && !k.cancelled)
