scheduler: tests of returned shares, idle workspaces and unused grants

Cause: three mutations survived the tests: a withdrawn ticket that keeps its cost, a virtual time that stands still, and index entries of a grant that was not used.

Ruled out: leaving them to the state-machine test; its oracle has no model of fair shares or caches.

Still surviving: the prompt time that an unused grant gives back.

Conclusion: the fair shares are covered for arrival, withdrawal and idling.

--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -61,8 +61,8 @@
 				g.chargeLink(t0, &Ticket{Region: "r", BodyBytes: 8e6}, "far")
 			},
 		},
-		"unused grant": {targets: alike, want: "a", before: func(g *Group) {
-			g.Submit(t0, testTicket(1, long))
+		"unused grant": {targets: alike, want: "a", ticket: long, before: func(g *Group) {
+			g.Submit(t0, testTicket(1, func(t *Ticket) { long(t); t.Avoid = []string{"a"} }))
 			g.Complete(t0, ended(1, ResultNotDispatched))
 		}},
 		"uncertain estimate": {targets: alike, want: "b", before: func(g *Group) { g.targets["a"].speed.error = 1 }, ticket: func(t *Ticket) { t.Deadline = t0.Add(time.Second) }},
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -85,11 +85,25 @@
 	}
 	g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 1})
 	first := g.Submit(t0, testTicket(99, func(t *Ticket) { t.Workspace = "first" }))
+	g.Submit(t0, testTicket(3, ws("c", 1, 10)))
 	g.Submit(t0, testTicket(0, ws("a", 1, 10000)))
 	g.Withdraw(t0, testID(0))
 	g.Submit(t0, testTicket(1, ws("a", 1, 10)))
 	g.Submit(t0, testTicket(2, ws("b", 1, 10)))
-	require.Equal(t, []int{1, 2}, drain(g, first)[1:], "a withdrawn ticket costs no share")
+	require.Equal(t, []int{3, 1, 2}, drain(g, first)[1:], "a withdrawn ticket costs no share")
+
+	g = testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 1})
+	g.Submit(t0, testTicket(99, func(t *Ticket) { t.Workspace = "first" }))
+	for i := range 5 {
+		g.Submit(t0, testTicket(i, ws("a", 1, 10)))
+	}
+	for _, n := range []int{99, 0, 1} {
+		first = g.Complete(t0, served(n))
+	}
+	for i := 10; i < 13; i++ {
+		g.Submit(t0, testTicket(i, ws("b", 1, 10)))
+	}
+	require.Equal(t, []int{2, 10, 3, 11, 4, 12}, drain(g, first), "a workspace that was idle has saved up no share")
 }
 
 // Guards against shedding anything but the newest ticket of the lowest tier.
