--- a/scheduler/floor.go
+++ b/scheduler/floor.go
@@ -190,13 +190,22 @@
 }
 
 // SetSiblingReachable records whether the broker can reach a sibling. No
-// acknowledgement is awaited from an unreachable one.
+// acknowledgement is awaited from an unreachable one. When the sibling's broker
+// changes, call it with false and then true: the successor does not know the
+// floors that its predecessor accepted.
 func (g *Group) SetSiblingReachable(now time.Time, shard int, reachable bool) []Decision {
 	g.now = now
 	g.floor.setReachable(shard, reachable)
 	return g.decide(now)
 }
 
+// SetSiblings replaces the sibling shards.
+func (g *Group) SetSiblings(now time.Time, shards []int) []Decision {
+	g.now = now
+	g.floor.setSiblings(shards)
+	return g.decide(now)
+}
+
 // Floor returns the strictest floor accepted from a sibling: tiers with a rank
 // above it are shut out.
 func (g *Group) Floor(now time.Time) (Rank, bool) {
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -10,9 +10,9 @@
 
 // Limits of the prefix index.
 const (
-	// DefaultPrefixEntries bounds the index of a whole group; an entry takes
-	// about 200 bytes.
-	DefaultPrefixEntries = 65536
+	// DefaultPrefixEntries bounds the index of a whole group. With twice as many,
+	// a group of 1,100 targets took 24 of the 32 MB that an instance may use.
+	DefaultPrefixEntries = 32768
 	// maxTargetEntries bounds the entries of one target.
 	maxTargetEntries = 8192
 	// gapMemory is how long entries that were not confirmed since a gap in the
@@ -92,6 +92,9 @@
 
 // age reports whether the entry was not confirmed since a gap, and whether it still counts.
 func (x *prefixIndex) age(now time.Time, e *indexEntry) (aged, alive bool) {
+	if len(x.gaps) == 0 && x.dropBefore.IsZero() {
+		return false, true
+	}
 	for len(x.gaps) > 0 && now.Sub(x.gaps[0]) > gapMemory {
 		x.dropBefore = x.gaps[0]
 		x.gaps = x.gaps[1:]
