--- /dev/null
+++ b/moves/decide.go
@@ -0,0 +1,202 @@
+package moves
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// TargetState is what a target reports of its versions. Targets that cannot be
+// reached or are leaving are left out.
+type TargetState struct {
+	Name     string
+	Versions []string
+	Loading  []string
+}
+
+// Input is what a decision is made from.
+type Input struct {
+	Move *pb.Move
+	// Row is nil before the move has a row.
+	Row      *pb.MoveRow
+	From, To Series
+	Targets  []TargetState
+	// KeepNew is set if another route or move needs the new version on these
+	// targets, so that taking back does not unload it.
+	KeepNew bool
+	// Stop is the reason of a stop issued by an entry, or empty.
+	Stop string
+	Now  time.Time
+}
+
+// Decide returns the next row, or nil if nothing changes, and the reason. The
+// writer sets fence and nonce.
+func Decide(in Input) (*pb.MoveRow, string) {
+	if in.Row == nil {
+		return &pb.MoveRow{
+			Move:       in.Move.GetName(),
+			Phase:      pb.MovePhase_MOVE_PHASE_PENDING,
+			PhaseSince: timestamppb.New(in.Now),
+		}, "move accepted"
+	}
+	if Terminal(in.Row.GetPhase()) {
+		return nil, "move has ended"
+	}
+	next, reason := advance(in)
+	if in.Row.GetPhase() == pb.MovePhase_MOVE_PHASE_TAKING_BACK {
+		return next, reason
+	}
+	if in.Row.GetLate() || !in.Now.After(in.Move.GetDeadline().AsTime()) {
+		return next, reason
+	}
+	if next == nil {
+		next = clone(in.Row)
+		reason = "deadline passed: " + reason
+	}
+	next.Late = true
+	next.Reason = reason
+	return next, reason
+}
+
+func advance(in Input) (*pb.MoveRow, string) {
+	phase := in.Row.GetPhase()
+	if phase == pb.MovePhase_MOVE_PHASE_TAKING_BACK {
+		return finishTakingBack(in)
+	}
+	if in.Stop != "" {
+		return TakeBack(in.Row, in.Stop, in.Now), in.Stop
+	}
+	if Serving(phase) {
+		if reason, bad := Bad(in.Move, in.From, in.To); bad {
+			return TakeBack(in.Row, reason, in.Now), reason
+		}
+		return nextStep(in)
+	}
+	if phase == pb.MovePhase_MOVE_PHASE_PENDING {
+		return enter(in, pb.MovePhase_MOVE_PHASE_LOADING, 0, 0, "loading")
+	}
+	first := Steps(in.Move)[0]
+	if !loadedFor(in, first) {
+		return nil, "new version is not loaded on enough targets"
+	}
+	return enter(in, pb.MovePhase_MOVE_PHASE_CANARY, 0, first, "new version is loaded")
+}
+
+// TakeBack returns the row that takes a move back.
+func TakeBack(row *pb.MoveRow, reason string, now time.Time) *pb.MoveRow {
+	next := clone(row)
+	next.Phase = pb.MovePhase_MOVE_PHASE_TAKING_BACK
+	next.SharePercent = 0
+	next.Reason = reason
+	next.PhaseSince = timestamppb.New(now)
+	return next
+}
+
+func enter(in Input, phase pb.MovePhase, step int, share float64, reason string) (*pb.MoveRow, string) {
+	next := clone(in.Row)
+	next.Phase = phase
+	next.Step = int32(step)
+	next.SharePercent = share
+	next.Reason = reason
+	next.PhaseSince = timestamppb.New(in.Now)
+	return next, reason
+}
+
+// nextStep goes on as soon as step_time has passed and the evidence is good, which
+// is the earliest and so the best pace for any deadline.
+func nextStep(in Input) (*pb.MoveRow, string) {
+	since := in.Row.GetPhaseSince().AsTime()
+	if in.Now.Sub(since) < in.Move.GetStepTime().AsDuration() {
+		return nil, "step time has not passed"
+	}
+	if missing, ok := good(in.Move, in.From, in.To, firstFullWindow(since)); !ok {
+		return nil, missing
+	}
+	steps := Steps(in.Move)
+	step := int(in.Row.GetStep()) + 1
+	if step >= len(steps) {
+		return enter(in, pb.MovePhase_MOVE_PHASE_DONE, len(steps)-1, fullSharePercent, "all steps completed")
+	}
+	if !loadedFor(in, steps[step]) {
+		return nil, "new version is not loaded on enough targets"
+	}
+	reason := fmt.Sprintf("step %d of %d", step+1, len(steps))
+	return enter(in, pb.MovePhase_MOVE_PHASE_STEPPING, step, steps[step], reason)
+}
+
+// loadedFor reports whether the part of the reachable targets that have loaded
+// the new version is at least the share.
+func loadedFor(in Input, share float64) bool {
+	loaded := 0
+	for _, t := range in.Targets {
+		if slices.Contains(t.Versions, in.Move.GetTo()) {
+			loaded++
+		}
+	}
+	return loaded > 0 && float64(loaded)*fullSharePercent >= share*float64(len(in.Targets))
+}
+
+func finishTakingBack(in Input) (*pb.MoveRow, string) {
+	if len(in.Targets) == 0 {
+		return nil, "no target can be reached"
+	}
+	for _, t := range in.Targets {
+		if !slices.Contains(t.Versions, in.Move.GetFrom()) {
+			return nil, "old version is not loaded on target " + t.Name
+		}
+		present := slices.Contains(t.Versions, in.Move.GetTo()) || slices.Contains(t.Loading, in.Move.GetTo())
+		if present && !in.KeepNew {
+			return nil, "new version is still loaded on target " + t.Name
+		}
+	}
+	reason := in.Row.GetReason()
+	return enter(in, pb.MovePhase_MOVE_PHASE_TAKEN_BACK, int(in.Row.GetStep()), 0, reason)
+}
+
+// Wanted is what the moves and routes of a pool want of a target.
+type Wanted struct {
+	// Keep are the versions to be loaded. They are loaded in this order.
+	Keep []string
+	// Drop maps a version to unload to the version that must be loaded before.
+	Drop map[string]string
+}
+
+// Want adds what a move wants in the phase of its row.
+func (w *Wanted) Want(move *pb.Move, phase pb.MovePhase) {
+	switch phase {
+	case pb.MovePhase_MOVE_PHASE_TAKING_BACK, pb.MovePhase_MOVE_PHASE_TAKEN_BACK:
+		w.Keep = append([]string{move.GetFrom()}, w.Keep...)
+		if w.Drop == nil {
+			w.Drop = map[string]string{}
+		}
+		w.Drop[move.GetTo()] = move.GetFrom()
+	case pb.MovePhase_MOVE_PHASE_UNSPECIFIED, pb.MovePhase_MOVE_PHASE_PENDING:
+		w.Keep = append(w.Keep, move.GetFrom())
+	default:
+		w.Keep = append(w.Keep, move.GetFrom(), move.GetTo())
+	}
+}
+
+// Desired returns the versions to order from a target in its state, and those of
+// them that have to be loaded first. Versions that no move concerns stay.
+func (w *Wanted) Desired(state TargetState) (versions, loads []string) {
+	present := append(slices.Clone(state.Versions), state.Loading...)
+	for _, version := range present {
+		before, drop := w.Drop[version]
+		keep := slices.Contains(w.Keep, version)
+		if drop && !keep && slices.Contains(state.Versions, before) {
+			continue
+		}
+		versions = append(versions, version)
+	}
+	for _, version := range w.Keep {
+		if version != "" && !slices.Contains(present, version) && !slices.Contains(loads, version) {
+			loads = append(loads, version)
+		}
+	}
+	return append(versions, loads...), loads
+}
--- /dev/null
+++ b/moves/evidence.go
@@ -0,0 +1,319 @@
+package moves
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+const (
+	// WindowLength is the length of an evidence window, counted from the Unix epoch.
+	WindowLength = 10 * time.Second
+	// openWindows is how long counters are kept apart by instance. Older windows
+	// are folded into one total, which bounds memory at large fleets; counters
+	// that arrive for a folded window are ignored.
+	openWindows = 30
+	// keptWindows bounds the history of a move to six hours.
+	keptWindows = 2160
+)
+
+// WindowOf returns the number of the window that contains the time.
+func WindowOf(t time.Time) int64 { return t.Unix() / int64(WindowLength/time.Second) }
+
+// firstFullWindow returns the first window that begins at or after the time.
+func firstFullWindow(t time.Time) int64 { return WindowOf(t.Add(WindowLength - 1)) }
+
+// moment holds a mean and the spread of the means of cells (one instance in one
+// window), weighted by requests. Counters carry no squares, so the spread between
+// cells stands in for the spread between requests.
+type moment struct {
+	weight, sum, square float64
+	cells               int
+}
+
+func (m *moment) addCell(weight, mean float64) {
+	m.weight += weight
+	m.sum += weight * mean
+	m.square += weight * mean * mean
+	m.cells++
+}
+
+func (m *moment) add(other moment) {
+	m.weight += other.weight
+	m.sum += other.sum
+	m.square += other.square
+	m.cells += other.cells
+}
+
+func (m *moment) mean() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
+
+// variation returns the squared coefficient of variation of one request, or 0 if unknown.
+func (m *moment) variation() float64 {
+	mean := m.mean()
+	if m.cells < 2 || mean == 0 {
+		return 0
+	}
+	variance := (m.square - m.sum*mean) / float64(m.cells-1)
+	return variance / (mean * mean)
+}
+
+// Totals sums the evidence of all instances. Times cover requests that did not fail.
+type Totals struct {
+	Requests int64
+	Failures int64
+
+	firstToken moment
+	interval   moment
+}
+
+func (t *Totals) add(other Totals) {
+	t.Requests += other.Requests
+	t.Failures += other.Failures
+	t.firstToken.add(other.firstToken)
+	t.interval.add(other.interval)
+}
+
+func (t *Totals) addCounter(c *pb.EvidenceCounter) {
+	t.Requests += c.GetRequests()
+	t.Failures += c.GetFailures()
+	served := float64(c.GetRequests() - c.GetFailures())
+	if served <= 0 {
+		return
+	}
+	t.firstToken.addCell(served, float64(c.GetFirstTokenMsSum())/served)
+	if c.GetTokenIntervals() > 0 {
+		t.interval.addCell(served, float64(c.GetTokenIntervalUsSum())/float64(c.GetTokenIntervals()))
+	}
+}
+
+func (t *Totals) failureRatio() float64 {
+	if t.Requests == 0 {
+		return 0
+	}
+	return float64(t.Failures) / float64(t.Requests)
+}
+
+// WindowTotals is the evidence of one window.
+type WindowTotals struct {
+	Window int64
+	Totals
+}
+
+// Series is the evidence of one version of a move in the order of windows.
+type Series []WindowTotals
+
+// since sums the windows from the given one on.
+func (s Series) since(window int64) Totals {
+	var sum Totals
+	for _, w := range s {
+		if w.Window >= window {
+			sum.add(w.Totals)
+		}
+	}
+	return sum
+}
+
+// baseline sums like since and goes on into earlier windows until the sum holds
+// the wanted number of requests.
+func (s Series) baseline(window, wanted int64) Totals {
+	sum := s.since(window)
+	for _, w := range slices.Backward(s) {
+		if sum.Requests >= wanted {
+			break
+		}
+		if w.Window < window {
+			sum.add(w.Totals)
+		}
+	}
+	return sum
+}
+
+// Sample is what one dispatched request showed of a target version. It has the
+// fields of entry.Sample, so that one converts to the other.
+type Sample struct {
+	Route   string
+	Version string
+	Failed  bool
+	// FirstToken is measured from the dispatch. TokenInterval is the mean time
+	// between two tokens, 0 if there are fewer than two.
+	FirstToken    time.Duration
+	TokenInterval time.Duration
+	Intervals     int
+}
+
+type seriesKey struct{ move, version string }
+
+type cellKey struct {
+	instance    string
+	incarnation uint64
+}
+
+type window struct {
+	cells  map[cellKey]*pb.EvidenceCounter
+	folded *Totals
+}
+
+func (w *window) totals() Totals {
+	if w.folded != nil {
+		return *w.folded
+	}
+	var sum Totals
+	for _, c := range w.cells {
+		sum.addCounter(c)
+	}
+	return sum
+}
+
+func (w *window) fold() {
+	if w.folded == nil {
+		sum := w.totals()
+		w.folded, w.cells = &sum, nil
+	}
+}
+
+// Recorder counts this instance's samples and merges the counters of others.
+// It is safe for concurrent use.
+type Recorder struct {
+	self cellKey
+
+	mu     sync.Mutex
+	series map[seriesKey]map[int64]*window
+}
+
+// NewRecorder returns an empty recorder of an instance.
+func NewRecorder(instance string, incarnation uint64) *Recorder {
+	return &Recorder{
+		self:   cellKey{instance, incarnation},
+		series: map[seriesKey]map[int64]*window{},
+	}
+}
+
+// Add counts a sample of a move.
+func (r *Recorder) Add(now time.Time, move string, s Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.cell(seriesKey{move, s.Version}, WindowOf(now), r.self)
+	if c == nil {
+		return
+	}
+	c.Requests++
+	if s.Failed {
+		c.Failures++
+		return
+	}
+	c.FirstTokenMsSum += s.FirstToken.Milliseconds()
+	c.TokenIntervalUsSum += s.TokenInterval.Microseconds() * int64(s.Intervals)
+	c.TokenIntervals += int64(s.Intervals)
+}
+
+// cell returns the counter of an instance, or nil if its window is folded.
+func (r *Recorder) cell(key seriesKey, number int64, owner cellKey) *pb.EvidenceCounter {
+	windows := r.series[key]
+	if windows == nil {
+		windows = map[int64]*window{}
+		r.series[key] = windows
+	}
+	w := windows[number]
+	if w == nil {
+		w = &window{cells: map[cellKey]*pb.EvidenceCounter{}}
+		windows[number] = w
+	}
+	if w.folded != nil {
+		return nil
+	}
+	c := w.cells[owner]
+	if c == nil {
+		c = &pb.EvidenceCounter{
+			Move: key.move, Version: key.version, Window: number,
+			Instance: owner.instance, Incarnation: owner.incarnation,
+		}
+		w.cells[owner] = c
+	}
+	return c
+}
+
+// Merge takes counters of other instances. A counter only grows, so of two
+// records the larger fields hold. Records of this instance are ignored.
+func (r *Recorder) Merge(now time.Time, counters []*pb.EvidenceCounter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := WindowOf(now)
+	for _, in := range counters {
+		owner := cellKey{in.GetInstance(), in.GetIncarnation()}
+		if owner == r.self || in.GetWindow() <= current-openWindows || in.GetWindow() > current+openWindows {
+			continue
+		}
+		if c := r.cell(seriesKey{in.GetMove(), in.GetVersion()}, in.GetWindow(), owner); c != nil {
+			grow(c, in)
+		}
+	}
+}
+
+func grow(c, in *pb.EvidenceCounter) {
+	c.Requests = max(c.Requests, in.GetRequests())
+	c.Failures = max(c.Failures, in.GetFailures())
+	c.FirstTokenMsSum = max(c.FirstTokenMsSum, in.GetFirstTokenMsSum())
+	c.TokenIntervalUsSum = max(c.TokenIntervalUsSum, in.GetTokenIntervalUsSum())
+	c.TokenIntervals = max(c.TokenIntervals, in.GetTokenIntervals())
+}
+
+// Series returns the evidence of a version of a move.
+func (r *Recorder) Series(move, version string) Series {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var series Series
+	for number, w := range r.series[seriesKey{move, version}] {
+		series = append(series, WindowTotals{Window: number, Totals: w.totals()})
+	}
+	slices.SortFunc(series, func(a, b WindowTotals) int { return cmp.Compare(a.Window, b.Window) })
+	return series
+}
+
+// Counters returns copies of the counters of windows from the given one on: this
+// instance's own, or all that it knows.
+func (r *Recorder) Counters(from int64, all bool) []*pb.EvidenceCounter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*pb.EvidenceCounter
+	for _, windows := range r.series {
+		for number, w := range windows {
+			if number < from {
+				continue
+			}
+			for owner, c := range w.cells {
+				if all || owner == r.self {
+					out = append(out, clone(c))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Trim folds and drops old windows and forgets moves for which keep is false.
+func (r *Recorder) Trim(now time.Time, keep func(move string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := WindowOf(now)
+	for key, windows := range r.series {
+		if !keep(key.move) {
+			delete(r.series, key)
+			continue
+		}
+		for number, w := range windows {
+			if number <= current-keptWindows {
+				delete(windows, number)
+			} else if number <= current-openWindows {
+				w.fold()
+			}
+		}
+	}
+}
