controller: drive version moves under a lease

Cause: rows of moves, orders to engines and the loads that they cause need one driver at a time, and every instance must be able to take over. Ruled out: one loop that waits for engines (a frozen target would delay the stop of another move), trusting the lease alone (a pause after the check can send an old order; rows and checking engines therefore see the fence first, other targets are corrected), a bound on parallel loads for taking back (loads that hang would block it; the rate still bounds them), and taking the loss of an answer for a failure (the nonce of the row read back decides). A new holder sends each checking target one order even without a change, so that a late order of the former holder is refused.

--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,312 @@
+// Package controller drives version moves. Any instance may hold the role; it
+// acts only while its lease is valid.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilloom/basilloom/config"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// ErrStaleFence is returned by Engines.Order if the target has seen a higher
+// fencing token.
+var ErrStaleFence = errors.New("the target has seen a higher fencing token")
+
+// Lease is the lease of the controller role.
+type Lease interface {
+	// Fence returns the fencing token of the latest lease held.
+	Fence() int64
+	// Valid reports whether the lease is held now and for the margin to come.
+	Valid(now time.Time, margin time.Duration) bool
+}
+
+// View is what this instance knows of moves. *moves.Tracker implements it.
+type View interface {
+	Series(move, version string) moves.Series
+	// Stop returns the reason of a stop issued by an entry.
+	Stop(move string) (reason string, stopped bool)
+}
+
+// Engines gives access to the targets' management calls.
+type Engines interface {
+	State(ctx context.Context, target *pb.Target) (moves.TargetState, error)
+	// Order sets the versions to be loaded; it is idempotent. It returns
+	// ErrStaleFence if the target refuses the fencing token.
+	Order(ctx context.Context, target *pb.Target, fence int64, versions []string) error
+}
+
+// Settings is what a Controller works with. Durations and limits that are 0 take
+// the value of DefaultSettings.
+type Settings struct {
+	Table    platform.Table
+	Lease    Lease
+	Snapshot func() *config.Snapshot
+	View     View
+	Engines  Engines
+	// Publish passes on what a row says. It is called after the row was written or read.
+	Publish func(*pb.MoveProgress)
+	Log     *zap.Logger
+	// Meter may be nil.
+	Meter metric.Meter
+
+	Interval     time.Duration
+	StoreTimeout time.Duration
+	StateTimeout time.Duration
+	// OrderTimeout bounds an order; a new holder waits this long before its first.
+	OrderTimeout time.Duration
+	// LeaseMargin is the time beyond OrderTimeout for which the lease must be
+	// valid before an order.
+	LeaseMargin time.Duration
+	// LoadInterval and ParallelLoads bound the loads of all targets together, so
+	// that they stay under the limit of the weight store.
+	LoadInterval  time.Duration
+	ParallelLoads int
+}
+
+// DefaultSettings returns the default durations and limits.
+func DefaultSettings() Settings {
+	return Settings{
+		Interval:      500 * time.Millisecond,
+		StoreTimeout:  2 * time.Second,
+		StateTimeout:  time.Second,
+		OrderTimeout:  2 * time.Second,
+		LeaseMargin:   500 * time.Millisecond,
+		LoadInterval:  time.Second,
+		ParallelLoads: 3,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	setDefault(&s.Interval, d.Interval)
+	setDefault(&s.StoreTimeout, d.StoreTimeout)
+	setDefault(&s.StateTimeout, d.StateTimeout)
+	setDefault(&s.OrderTimeout, d.OrderTimeout)
+	setDefault(&s.LeaseMargin, d.LeaseMargin)
+	setDefault(&s.LoadInterval, d.LoadInterval)
+	setDefault(&s.ParallelLoads, d.ParallelLoads)
+	if s.Meter == nil {
+		s.Meter = noop.NewMeterProvider().Meter("controller")
+	}
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Controller drives the moves of the configuration in force.
+type Controller struct {
+	settings    Settings
+	transitions metric.Int64Counter
+	targets     *targets
+
+	// term is the fencing token of the current role, 0 without the role.
+	term        int64
+	ordersAfter time.Time
+	// superseded is the highest fencing token of ours that a newer holder has
+	// replaced; the role stays ended until the lease has a higher one.
+	superseded int64
+	storeDown  bool
+}
+
+// New returns a controller.
+func New(settings Settings) (*Controller, error) {
+	settings = settings.withDefaults()
+	transitions, err := settings.Meter.Int64Counter("basilloom.move.transitions",
+		metric.WithDescription("Transitions of version moves by phase."))
+	if err != nil {
+		return nil, fmt.Errorf("create metric: %w", err)
+	}
+	return &Controller{settings: settings, transitions: transitions, targets: newTargets(settings)}, nil
+}
+
+// Run drives moves until the context ends, then waits for calls in progress.
+func (c *Controller) Run(ctx context.Context) {
+	defer c.targets.wait()
+	ticker := time.NewTicker(c.settings.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(ctx)
+		}
+	}
+}
+
+func (c *Controller) tick(ctx context.Context) {
+	if !c.hold() {
+		return
+	}
+	rows, err := c.read(ctx)
+	c.logStore(err)
+	if err != nil || c.replaced(rows) {
+		return
+	}
+	snapshot := c.settings.Snapshot()
+	for _, move := range snapshot.Config().GetMoves() {
+		if row := rows[move.GetName()]; row != nil {
+			c.settings.Publish(row.progress())
+		}
+		c.drive(ctx, snapshot, rows, move)
+	}
+	c.targets.reconcile(ctx, c.term, c.ordersAfter, plan(snapshot, rows))
+}
+
+// hold reports whether this instance has the role and begins a term for each new
+// fencing token.
+func (c *Controller) hold() bool {
+	now := time.Now()
+	fence := c.settings.Lease.Fence()
+	if !c.settings.Lease.Valid(now, c.settings.LeaseMargin) || fence <= c.superseded {
+		c.end()
+		return false
+	}
+	if fence != c.term {
+		c.term = fence
+		c.ordersAfter = now.Add(c.settings.OrderTimeout)
+		c.targets.forget()
+		c.settings.Log.Info("controller role begun", zap.Int64("fence", fence))
+	}
+	if c.targets.refused(fence) {
+		c.supersede("a target has seen a higher fencing token")
+		return false
+	}
+	return true
+}
+
+func (c *Controller) end() {
+	if c.term != 0 {
+		c.settings.Log.Info("controller role ended", zap.Int64("fence", c.term))
+	}
+	c.term = 0
+}
+
+func (c *Controller) supersede(reason string) {
+	c.settings.Log.Warn("controller role superseded", zap.Int64("fence", c.term), zap.String("reason", reason))
+	c.superseded = c.term
+	c.end()
+}
+
+func (c *Controller) read(ctx context.Context) (map[string]*moveRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.StoreTimeout)
+	defer cancel()
+	return readRows(ctx, c.settings.Table)
+}
+
+func (c *Controller) logStore(err error) {
+	if err != nil && !c.storeDown {
+		c.settings.Log.Warn("moves cannot be read", zap.Error(err))
+	}
+	c.storeDown = err != nil
+}
+
+func (c *Controller) replaced(rows map[string]*moveRow) bool {
+	for _, row := range rows {
+		if row.GetFence() > c.term {
+			c.supersede("a row has a higher fencing token")
+			return true
+		}
+	}
+	return false
+}
+
+// drive decides on one move and writes its row. A row that an earlier holder wrote
+// is written again with the new fencing token, which ends that holder's role.
+func (c *Controller) drive(ctx context.Context, snapshot *config.Snapshot, rows map[string]*moveRow, move *pb.Move) {
+	row := rows[move.GetName()]
+	next, reason := c.decide(snapshot, rows, move)
+	if next == nil && row != nil && !moves.Terminal(row.GetPhase()) && row.GetFence() < c.term {
+		next = proto.Clone(row.MoveRow).(*pb.MoveRow)
+	}
+	if next == nil || !c.settings.Lease.Valid(time.Now(), c.settings.LeaseMargin) {
+		return
+	}
+	next.Fence = c.term
+	ctx, cancel := context.WithTimeout(ctx, c.settings.StoreTimeout)
+	defer cancel()
+	written, err := writeRow(ctx, c.settings.Table, next, row.rowVersion())
+	if err != nil {
+		c.settings.Log.Warn("move not written", zap.String("move", move.GetName()), zap.Error(err))
+		return
+	}
+	rows[move.GetName()] = written
+	c.settings.Publish(written.progress())
+	c.report(ctx, row, written, reason)
+}
+
+func (r *moveRow) phase() pb.MovePhase {
+	if r == nil {
+		return pb.MovePhase_MOVE_PHASE_UNSPECIFIED
+	}
+	return r.GetPhase()
+}
+
+func (r *moveRow) rowVersion() int64 {
+	if r == nil {
+		return 0
+	}
+	return r.version
+}
+
+func (c *Controller) decide(snapshot *config.Snapshot, rows map[string]*moveRow, move *pb.Move) (*pb.MoveRow, string) {
+	in := moves.Input{
+		Move:    move,
+		From:    c.settings.View.Series(move.GetName(), move.GetFrom()),
+		To:      c.settings.View.Series(move.GetName(), move.GetTo()),
+		KeepNew: keepNew(snapshot, rows, move),
+		Now:     time.Now(),
+	}
+	if row := rows[move.GetName()]; row != nil {
+		in.Row = row.MoveRow
+	}
+	if reason, stopped := c.settings.View.Stop(move.GetName()); stopped {
+		in.Stop = "stopped by an entry: " + reason
+	}
+	// By then each target that can be reached has been observed in this term.
+	if in.Now.After(c.ordersAfter) {
+		in.Targets = c.targets.states(in.Now, snapshot.TargetsOf(poolOf(snapshot, move)))
+	}
+	return moves.Decide(in)
+}
+
+// report logs and counts the difference between the old row and the new one.
+func (c *Controller) report(ctx context.Context, old, row *moveRow, reason string) {
+	before := &pb.MoveRow{}
+	if old != nil {
+		before = old.MoveRow
+	}
+	fields := []zap.Field{
+		zap.String("move", row.GetMove()),
+		zap.Stringer("phase", row.GetPhase()),
+		zap.Float64("share_percent", row.GetSharePercent()),
+		zap.String("reason", reason),
+	}
+	if row.GetLate() && !before.GetLate() {
+		c.settings.Log.Warn("move is late", fields...)
+	}
+	if row.GetPhase() == before.GetPhase() && row.GetStep() == before.GetStep() {
+		return
+	}
+	c.settings.Log.Info("move advanced", fields...)
+	c.transitions.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("move", row.GetMove()),
+		attribute.String("phase", row.GetPhase().String())))
+}
--- /dev/null
+++ b/controller/rows.go
@@ -0,0 +1,175 @@
+package controller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilloom/basilloom/config"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/platform"
+)
+
+// Partition holds the rows of moves; the sort key is the name of the move.
+const Partition = "move"
+
+// cancelAttempts bounds how often Cancel starts again after another writer won.
+const cancelAttempts = 10
+
+// moveRow is a row with the version it was read or written at.
+type moveRow struct {
+	*pb.MoveRow
+	version int64
+}
+
+func (r *moveRow) progress() *pb.MoveProgress {
+	return &pb.MoveProgress{
+		Move:         r.GetMove(),
+		RowVersion:   r.version,
+		Phase:        r.GetPhase(),
+		SharePercent: r.GetSharePercent(),
+	}
+}
+
+func decode(row platform.Row) (*moveRow, error) {
+	out := &moveRow{MoveRow: &pb.MoveRow{}, version: row.Version}
+	if err := proto.Unmarshal(row.Value, out.MoveRow); err != nil {
+		return nil, fmt.Errorf("decode row %s/%s: %w", row.Key.Partition, row.Key.Sort, err)
+	}
+	return out, nil
+}
+
+func readRows(ctx context.Context, table platform.Table) (map[string]*moveRow, error) {
+	stored, err := table.List(ctx, Partition)
+	if err != nil {
+		return nil, fmt.Errorf("list moves: %w", err)
+	}
+	rows := make(map[string]*moveRow, len(stored))
+	for _, s := range stored {
+		row, err := decode(s)
+		if err != nil {
+			return nil, err
+		}
+		rows[s.Key.Sort] = row
+	}
+	return rows, nil
+}
+
+// readRow returns the row, or nil if there is none.
+func readRow(ctx context.Context, table platform.Table, move string) (*moveRow, error) {
+	stored, err := table.Get(ctx, platform.Key{Partition: Partition, Sort: move})
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read move %s: %w", move, err)
+	}
+	return decode(stored)
+}
+
+// writeRow writes a row on the version that was read. A lost answer is settled by
+// reading the row back and comparing the nonce; if that fails too, the error is
+// platform.ErrUnknown.
+func writeRow(ctx context.Context, table platform.Table, row *pb.MoveRow, expect int64) (*moveRow, error) {
+	row.Nonce = rand.Text()
+	value, err := proto.Marshal(row)
+	if err != nil {
+		return nil, fmt.Errorf("encode move %s: %w", row.GetMove(), err)
+	}
+	key := platform.Key{Partition: Partition, Sort: row.GetMove()}
+	stored, err := table.Put(ctx, key, value, expect)
+	if err == nil {
+		return &moveRow{row, stored.Version}, nil
+	}
+	if !errors.Is(err, platform.ErrUnknown) {
+		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), err)
+	}
+	found, readErr := readRow(ctx, table, row.GetMove())
+	if readErr != nil {
+		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), err)
+	}
+	if found == nil || found.GetNonce() != row.GetNonce() {
+		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), platform.ErrConflict)
+	}
+	return found, nil
+}
+
+// CancelError tells that a move cannot be cancelled because it has ended or is
+// already being taken back. A retry has the same result.
+type CancelError struct {
+	Move   string
+	Phase  pb.MovePhase
+	Reason string
+}
+
+func (e *CancelError) Error() string {
+	return fmt.Sprintf("move %s cannot be cancelled: phase is %s (%s)", e.Move, e.Phase, e.Reason)
+}
+
+// Cancel takes a move back for an operator. It returns a *CancelError if another
+// operator or the controller came first, and platform.ErrUnknown if the outcome
+// cannot be told; Cancel may be called again after any other error.
+func Cancel(ctx context.Context, table platform.Table, move *pb.Move, operator string) (*pb.MoveRow, error) {
+	reason := "cancelled by " + operator
+	var err error
+	for range cancelAttempts {
+		var row *moveRow
+		row, err = cancelOnce(ctx, table, move, reason)
+		if err == nil {
+			return row.MoveRow, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+func cancelOnce(ctx context.Context, table platform.Table, move *pb.Move, reason string) (*moveRow, error) {
+	row, err := readRow(ctx, table, move.GetName())
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if row == nil {
+		first, _ := moves.Decide(moves.Input{Move: move, Now: now})
+		if row, err = writeRow(ctx, table, first, 0); err != nil {
+			return nil, err
+		}
+	}
+	if !moves.CanFollow(row.GetPhase(), pb.MovePhase_MOVE_PHASE_TAKING_BACK) {
+		return nil, &CancelError{Move: move.GetName(), Phase: row.GetPhase(), Reason: row.GetReason()}
+	}
+	return writeRow(ctx, table, moves.TakeBack(row.MoveRow, reason, now), row.version)
+}
+
+// Status returns the status of the moves of a configuration in its order.
+// stoppedLocally tells whether this instance has stopped a move; it may be nil.
+func Status(
+	ctx context.Context,
+	table platform.Table,
+	snapshot *config.Snapshot,
+	stoppedLocally func(move string) bool,
+) ([]*pb.MoveStatus, error) {
+	rows, err := readRows(ctx, table)
+	if err != nil {
+		return nil, err
+	}
+	var out []*pb.MoveStatus
+	for _, move := range snapshot.Config().GetMoves() {
+		status := &pb.MoveStatus{Move: move}
+		if row := rows[move.GetName()]; row != nil {
+			status.Row = row.MoveRow
+		}
+		if stoppedLocally != nil {
+			status.StoppedLocally = stoppedLocally(move.GetName())
+		}
+		out = append(out, status)
+	}
+	return out, nil
+}
--- a/moves/decide.go
+++ b/moves/decide.go
@@ -165,11 +165,15 @@
 	Drop map[string]string
 }
 
-// Want adds what a move wants in the phase of its row.
-func (w *Wanted) Want(move *pb.Move, phase pb.MovePhase) {
+// Want adds what a move wants in the phase of its row. If keepNew is set, taking
+// back leaves the new version loaded.
+func (w *Wanted) Want(move *pb.Move, phase pb.MovePhase, keepNew bool) {
 	switch phase {
 	case pb.MovePhase_MOVE_PHASE_TAKING_BACK, pb.MovePhase_MOVE_PHASE_TAKEN_BACK:
 		w.Keep = append([]string{move.GetFrom()}, w.Keep...)
+		if keepNew {
+			return
+		}
 		if w.Drop == nil {
 			w.Drop = map[string]string{}
 		}
@@ -181,6 +185,16 @@
 	}
 }
 
+// Urgent reports whether a version is needed to take a move back.
+func (w *Wanted) Urgent(version string) bool {
+	for _, before := range w.Drop {
+		if before == version {
+			return true
+		}
+	}
+	return false
+}
+
 // Desired returns the versions to order from a target in its state, and those of
 // them that have to be loaded first. Versions that no move concerns stay.
 func (w *Wanted) Desired(state TargetState) (versions, loads []string) {
--- a/moves/decide_test.go
+++ b/moves/decide_test.go
@@ -143,7 +143,7 @@
 // another move of the pool needs it.
 func TestDesiredWhenTakingBack(t *testing.T) {
 	var w Wanted
-	w.Want(testMove(), pb.MovePhase_MOVE_PHASE_TAKING_BACK)
+	w.Want(testMove(), pb.MovePhase_MOVE_PHASE_TAKING_BACK, false)
 	versions, loads := w.Desired(TargetState{Versions: []string{"v2", "other"}})
 	require.Equal(t, []string{"v2", "other", "v1"}, versions)
 	require.Equal(t, []string{"v1"}, loads)
--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// SetMoves takes the moves of a configuration generation. Stops of moves that the
-// configuration no longer has are forgotten; a lower generation is ignored.
+// SetMoves takes the moves of a configuration generation. Progress and stops of
+// moves that were removed are forgotten; a lower generation is ignored.
 func (t *Tracker) SetMoves(generation int64, moves []*pb.Move) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,11 +64,17 @@
 		return
 	}
 	t.generation = generation
+	removed := t.byName
 	t.byRoute, t.byName = map[string]*pb.Move{}, map[string]*pb.Move{}
 	for _, m := range moves {
 		t.byRoute[m.GetRoute()] = m
 		t.byName[m.GetName()] = m
 	}
+	for name := range removed {
+		if t.byName[name] == nil {
+			delete(t.progress, name)
+		}
+	}
 	for name, stop := range t.stops {
 		if t.byName[name] == nil && stop.GetGeneration() < generation {
 			delete(t.stops, name)
@@ -191,11 +197,13 @@
 }
 
 // Observe counts a sample and stops the new version of its route if it is bad.
+// Samples of moves that have ended are not evidence.
 func (t *Tracker) Observe(s Sample) {
 	t.mu.RLock()
 	move := t.byRoute[s.Route]
+	ended := Terminal(t.progress[move.GetName()].GetPhase())
 	t.mu.RUnlock()
-	if move == nil || (s.Version != move.GetFrom() && s.Version != move.GetTo()) {
+	if move == nil || ended || (s.Version != move.GetFrom() && s.Version != move.GetTo()) {
 		return
 	}
 	now := t.settings.Now()
