--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -62,7 +62,7 @@
 		return platform.Row{}, platform.ErrUnavailable
 	}
 	row, err := f.Table.Put(ctx, key, value, expect)
-	if err == nil && f.faults.LoseAnswer() {
+	if err == nil && f.faults.LoseAnswer(true) {
 		return platform.Row{}, platform.ErrUnknown
 	}
 	return row, err
