Metrics of targets, queues, membership and store; state of targets for operators

Cause: an operator could see what callers get but not why: queues, ejected targets, the generation in force and the store's calls had no metric. Ruled out: counting in the hot path; the gauges are read from the groups when the metrics are scraped. Conclusion: basilloom targets shows the state of groups run by the asked instance; others are listed as scheduled elsewhere.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -189,24 +189,31 @@
 	}
 }
 
-// Snapshot returns the state of the targets of all groups that this instance runs.
-func (m *Manager) Snapshot(ctx context.Context) []scheduler.TargetStatus {
+// GroupStatus is the state of a group that this instance runs.
+type GroupStatus struct {
+	Key     GroupKey
+	Targets []scheduler.TargetStatus
+	Waiting []scheduler.TierStatus
+}
+
+// Status returns the state of all groups that this instance runs.
+func (m *Manager) Status(ctx context.Context) []GroupStatus {
 	m.mu.Lock()
 	runners := slices.Collect(maps.Values(m.runners))
 	m.mu.Unlock()
-	var all []scheduler.TargetStatus
+	var all []GroupStatus
 	for _, r := range runners {
-		status := make(chan []scheduler.TargetStatus, 1)
+		answer := make(chan GroupStatus, 1)
 		err := r.post(ctx, func(time.Time) []scheduler.Decision {
-			status <- r.group.Snapshot()
+			answer <- GroupStatus{Key: r.key, Targets: r.group.Snapshot(), Waiting: r.group.Waiting()}
 			return nil
 		})
 		if err != nil {
 			continue // the group has stopped
 		}
 		select {
-		case s := <-status:
-			all = append(all, s...)
+		case status := <-answer:
+			all = append(all, status)
 		case <-r.done:
 		case <-ctx.Done():
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,8 @@
 	Table   platform.Table
 	Objects platform.ObjectStore
 	List    platform.InstanceList
+	// Stats returns the number of table calls; it may be nil.
+	Stats func() platform.Stats
 }
 
 // NewPlatform connects to the platform's services that the settings name.
@@ -52,8 +54,10 @@
 			Endpoint: endpoint, Region: s.PlatformRegion, AccessKey: s.AccessKey, SecretKey: s.SecretKey,
 		}
 	}
+	table := platform.NewSettled(platform.NewDynamoDB(service(s.TableEndpoint), s.TableName), platform.SettledSettings{})
 	return Platform{
-		Table:   platform.NewSettled(platform.NewDynamoDB(service(s.TableEndpoint), s.TableName), platform.SettledSettings{}),
+		Table:   table,
+		Stats:   table.Stats,
 		Objects: platform.NewS3(service(s.ObjectsEndpoint), s.ObjectsBucket),
 		List:    platform.NewHTTPInstanceList(s.InstancesURL),
 	}
@@ -64,6 +68,8 @@
 	settings Settings
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
+	// storeStats is nil if the platform does not count calls.
+	storeStats func() platform.Stats
 
 	self    membership.Instance
 	members *membership.Exchanger
@@ -120,6 +126,10 @@
 	if err := d.assembleEntry(p); err != nil {
 		return nil, err
 	}
+	d.storeStats = p.Stats
+	if err := d.registerGauges(d.metrics.Meter); err != nil {
+		return nil, err
+	}
 	d.serveHandlers(key, trace, p)
 	return d, nil
 }
@@ -233,7 +243,7 @@
 		self:    d.self.Name,
 		store:   config.NewStore(p.Table, p.Objects, time.Now),
 		watcher: d.watcher,
-		members: d.members,
+		brokers: d.brokers,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -7,11 +7,12 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/config"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
-	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/scheduler"
 )
 
 // operatorService serves the operators' command line.
@@ -20,7 +21,7 @@
 	self    string
 	store   *config.Store
 	watcher *config.Watcher
-	members *membership.Exchanger
+	brokers *broker.Manager
 }
 
 // ApplyConfig implements the OperatorService.
@@ -67,17 +68,38 @@
 	return connect.NewResponse(response), nil
 }
 
-// ListTargets implements the OperatorService.
-func (s *operatorService) ListTargets(context.Context, *connect.Request[pb.ListTargetsRequest]) (*connect.Response[pb.ListTargetsResponse], error) {
+// ListTargets implements the OperatorService. The scheduling state is known for
+// the targets of groups that this instance runs.
+func (s *operatorService) ListTargets(ctx context.Context, _ *connect.Request[pb.ListTargetsRequest]) (*connect.Response[pb.ListTargetsResponse], error) {
 	response := &pb.ListTargetsResponse{}
-	if snapshot := s.watcher.Current(); snapshot != nil {
-		for _, t := range snapshot.Config().GetTargets() {
-			state := "ready"
-			if t.GetLeaving() {
-				state = "leaving"
-			}
-			response.Targets = append(response.Targets, &pb.TargetStatus{Target: t, State: state})
+	snapshot := s.watcher.Current()
+	if snapshot == nil {
+		return connect.NewResponse(response), nil
+	}
+	known := make(map[string]scheduler.TargetStatus)
+	for _, group := range s.brokers.Status(ctx) {
+		for _, t := range group.Targets {
+			known[t.Name] = t
 		}
 	}
+	for _, t := range snapshot.Config().GetTargets() {
+		response.Targets = append(response.Targets, targetStatus(t, known))
+	}
 	return connect.NewResponse(response), nil
 }
+
+func targetStatus(t *pb.Target, known map[string]scheduler.TargetStatus) *pb.TargetStatus {
+	status := &pb.TargetStatus{Target: t, State: "scheduled elsewhere"}
+	if k, ok := known[t.GetName()]; ok {
+		status.State = k.Health.String()
+		status.Running = int32(k.Running)
+		status.PrefillTokensPerSecond = k.PrefillTokensPerSecond
+		if k.TokenInterval > 0 {
+			status.DecodeTokensPerSecond = 1 / k.TokenInterval.Seconds()
+		}
+	}
+	if t.GetLeaving() || known[t.GetName()].Leaving {
+		status.State = "leaving"
+	}
+	return status
+}
