--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -106,6 +106,7 @@
 	mismatches int
 	lastFull   time.Time
 	sendsFull  bool   // a full view is being sent or waits in fullTo
+	synced     bool   // the view has once agreed with a peer's
 	announce   bool   // the own generation is to be sent at once
 	published  uint64 // hash of the view last delivered
 	subs       []*Subscription
--- a/membership/exchanger_test.go
+++ b/membership/exchanger_test.go
@@ -69,6 +69,7 @@
 		took, ok := timeUntil(20*time.Second, func() bool { return agree(members) })
 		require.True(t, ok)
 		t.Log("refuted everywhere after", took)
+		time.Sleep(20 * time.Second) // the resumed instance's own suspicions are refuted
 		members[0].checkFailed(t.Context(), members[1].self, errLink)
 		require.Equal(t, StateLive, members[0].get(members[1].self.Name).State, "two other instances reach it")
 	})
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -147,6 +147,7 @@
 			m.view.Merge(Record{Instance: other.self, State: StateLive}, time.Now())
 		}
 		clear(m.spread.left)
+		m.synced = true
 		m.mu.Unlock()
 	}
 	return members
--- a/membership/outgoing.go
+++ b/membership/outgoing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,9 +65,16 @@
 	_, _ = e.send(ctx, peer, request, CallTimeout)
 }
 
-// exchange sends the pending changes to a peer and probes it by that.
+// exchange sends the pending changes to a peer and probes it by that. A new
+// instance asks for full views until its own first agrees with a peer's.
 func (e *Exchanger) exchange(ctx context.Context, peer Instance) {
-	response, err := e.send(ctx, peer, e.request(peer.Name, MaxRecords), CallTimeout)
+	request := e.request(peer.Name, MaxRecords)
+	e.mu.Lock()
+	if !e.synced {
+		request.Probe = peer.Name
+	}
+	e.mu.Unlock()
+	response, err := e.send(ctx, peer, request, CallTimeout)
 	if err != nil {
 		e.checkFailed(ctx, peer, err)
 		return
@@ -81,7 +89,10 @@
 
 // countMismatch reports whether the full view is to be sent now.
 func (e *Exchanger) countMismatch(hash uint64) bool {
-	if hash == e.hash() {
+	e.synced = e.synced || hash == e.hash()
+	// While changes are being passed on, hashes differ anyway. After a region cut
+	// heals, all instances would otherwise send full views at the same time.
+	if hash == e.hash() || e.spread.pending() > 0 {
 		e.mismatches = 0
 		return false
 	}
@@ -181,6 +192,7 @@
 	keys, announce := e.urgent, e.announce
 	e.urgent, e.announce = nil, false
 	e.mu.Unlock()
+	keys = limitMembers(keys)
 	if len(keys) == 0 && !announce {
 		return
 	}
@@ -189,6 +201,22 @@
 	}
 }
 
+// limitMembers leaves all members to the periodic exchange if more than
+// MaxUrgentMembers wait, as after a region cut.
+func limitMembers(keys []recordKey) []recordKey {
+	isMember := func(key recordKey) bool { return key.kind == kindMember }
+	members := 0
+	for _, key := range keys {
+		if isMember(key) {
+			members++
+		}
+	}
+	if members <= MaxUrgentMembers {
+		return keys
+	}
+	return slices.DeleteFunc(keys, isMember)
+}
+
 // pushes returns one call for each of a few random peers and each batch of
 // records. Without records, the calls still carry the generation.
 func (e *Exchanger) pushes(ctx context.Context, keys []recordKey) []func() {
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -14,6 +14,9 @@
 	// counters in each window, so without it the traffic grows with the fleet:
 	// 50 instances with one move sent 9 KB/s each.
 	MaxEvidenceRecords = 3
+	// MaxUrgentMembers bounds the members in an urgent message. Relaying all of
+	// them at once would flood the regional link when a cut heals.
+	MaxUrgentMembers = 4
 )
 
 // kind orders records by urgency: lower kinds are sent first.
