Version moves run in the daemon: tracker, controller under its lease, operators' calls

Cause: the decisions of version moves and the controller existed but no instance ran them. Ruled out: a lease while no move is configured, because its renewals cost 720 writes an hour; and the leases behind the claims' write limit, because many claims would delay a renewal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,9 @@
 	"github.com/basilloom/basilloom/engine"
 	"github.com/basilloom/basilloom/entry"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
+	"github.com/basilloom/basilloom/lease"
 	"github.com/basilloom/basilloom/membership"
+	"github.com/basilloom/basilloom/moves"
 	"github.com/basilloom/basilloom/peer"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/scheduler"
@@ -40,7 +42,9 @@
 
 // Platform is what an instance uses of the platform.
 type Platform struct {
-	Table   platform.Table
+	Table platform.Table
+	// Leases is the same table behind limits of its own.
+	Leases  platform.Table
 	Objects platform.ObjectStore
 	List    platform.InstanceList
 	// Stats returns the number of table calls; it may be nil.
@@ -54,9 +58,11 @@
 			Endpoint: endpoint, Region: s.PlatformRegion, AccessKey: s.AccessKey, SecretKey: s.SecretKey,
 		}
 	}
-	table := platform.NewSettled(platform.NewDynamoDB(service(s.TableEndpoint), s.TableName), platform.SettledSettings{})
+	dynamo := platform.NewDynamoDB(service(s.TableEndpoint), s.TableName)
+	table := platform.NewSettled(dynamo, platform.SettledSettings{})
 	return Platform{
 		Table:   table,
+		Leases:  platform.NewSettled(dynamo, platform.SettledSettings{}),
 		Stats:   table.Stats,
 		Objects: platform.NewS3(service(s.ObjectsEndpoint), s.ObjectsBucket),
 		List:    platform.NewHTTPInstanceList(s.InstancesURL),
@@ -70,11 +76,14 @@
 	metrics  *telemetry.Metrics
 	// storeStats is nil if the platform does not count calls.
 	storeStats func() platform.Stats
+	platform   Platform
+	leases     *lease.Manager
 
 	self    membership.Instance
 	members *membership.Exchanger
 	watcher *config.Watcher
 	leaving *leavingTargets
+	tracker *moves.Tracker
 	groups  *groups
 	brokers *broker.Manager
 	tickets *broker.Client
@@ -126,7 +135,14 @@
 	if err := d.assembleEntry(p); err != nil {
 		return nil, err
 	}
+	if p.Leases == nil {
+		p.Leases = p.Table
+	}
 	d.storeStats = p.Stats
+	d.platform = p
+	// The leases have a rate limit and a retry budget of their own, so that many
+	// claims do not delay a renewal.
+	d.leases = lease.NewManager(p.Leases, lease.Settings{Holder: d.self.Name, Incarnation: d.self.Incarnation})
 	if err := d.registerGauges(d.metrics.Meter); err != nil {
 		return nil, err
 	}
@@ -177,6 +193,7 @@
 		FleetSize: d.fleetSize,
 		Logger:    d.log,
 	})
+	d.tracker = d.newTracker()
 	d.groups = &groups{
 		self:     d.self,
 		snapshot: d.watcher.Current,
@@ -210,7 +227,7 @@
 		FleetSize: d.fleetSize,
 		Tickets:   d.tickets,
 		Engine:    d.engine,
-		Versions:  routeVersions{},
+		Versions:  routeVersions{d.tracker},
 		Targets:   d.leaving,
 		Claims:    claims.NewStore(p.Table, d.self.Name),
 		Metrics:   metrics,
@@ -244,6 +261,8 @@
 		store:   config.NewStore(p.Table, p.Objects, time.Now),
 		watcher: d.watcher,
 		brokers: d.brokers,
+		table:   p.Table,
+		tracker: d.tracker,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -280,6 +299,8 @@
 	running.Go(func() { d.members.Run(control) })
 	running.Go(func() { _ = d.watcher.Run(control) }) // ends with its context's error only
 	running.Go(func() { d.follow(control) })
+	running.Go(func() { d.trackMoves(control) })
+	running.Go(func() { d.runController(control, d.platform, d.leases) })
 	failed := make(chan error, 3)
 	for _, l := range []listener{d.operators, d.peering, d.callers} {
 		running.Go(func() { serve(l, failed) })
@@ -317,6 +338,7 @@
 		case <-ctx.Done():
 			return
 		case snapshot := <-snapshots:
+			d.tracker.SetMoves(snapshot.Generation(), snapshot.Config().GetMoves())
 			d.members.SetGeneration(snapshot.Generation(), snapshot.Hash())
 		case known := <-changes.Generation:
 			_ = d.watcher.Notice(known.Generation, known.Hash) // a conflict is logged there
@@ -336,6 +358,7 @@
 	}
 	facts := d.members.Facts()
 	d.leaving.update(facts.Leaving, generation)
+	d.takeMoveFacts(facts)
 	d.brokers.SetQuarantined(quarantineEntries(facts.Quarantine, time.Now()))
 	d.brokers.Refresh()
 }
--- /dev/null
+++ b/internal/daemon/moves.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/controller"
+	"github.com/basilloom/basilloom/engine"
+	"github.com/basilloom/basilloom/entry"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/lease"
+	"github.com/basilloom/basilloom/membership"
+	"github.com/basilloom/basilloom/moves"
+)
+
+const (
+	// controllerLease is the name of the lease of the controller role.
+	controllerLease = "controller"
+	// trackerPeriod is how often the evidence of moves is judged and spread.
+	trackerPeriod = 500 * time.Millisecond
+)
+
+// routeVersions adapts the tracker to package entry.
+type routeVersions struct {
+	*moves.Tracker
+}
+
+// Observe implements entry.Versions.
+func (v routeVersions) Observe(s entry.Sample) {
+	v.Tracker.Observe(moves.Sample{
+		Route:         s.Route,
+		Version:       s.Version,
+		Failed:        s.Failed,
+		FirstToken:    s.FirstToken,
+		TokenInterval: s.TokenInterval,
+		Intervals:     s.Intervals,
+	})
+}
+
+// newTracker returns a tracker whose stops spread at once.
+func (d *Daemon) newTracker() *moves.Tracker {
+	return moves.NewTracker(moves.TrackerSettings{
+		Instance:    d.self.Name,
+		Incarnation: d.self.Incarnation,
+		Now:         time.Now,
+		OnStop: func(stop *pb.MoveStop) {
+			d.log.Warn("version move stopped", zap.String("move", stop.GetMove()), zap.String("reason", stop.GetReason()))
+			d.members.AddStop(membership.Stop{
+				StopKey: membership.StopKey{Move: stop.GetMove(), Generation: stop.GetGeneration()},
+				Reason:  stop.GetReason(),
+			})
+		},
+	})
+}
+
+// trackMoves judges the evidence and spreads this instance's counters.
+func (d *Daemon) trackMoves(ctx context.Context) {
+	ticker := time.NewTicker(trackerPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.tracker.Tick()
+			window := now.Unix() / int64(membership.EvidenceWindow/time.Second)
+			for _, c := range d.tracker.Counters(window-1, false) {
+				d.members.AddEvidence(evidenceOf(c))
+			}
+		}
+	}
+}
+
+// takeMoveFacts gives the tracker what other instances know.
+func (d *Daemon) takeMoveFacts(facts membership.Snapshot) {
+	for _, p := range facts.Progress {
+		d.tracker.SetProgress(&pb.MoveProgress{
+			Move: p.Move, RowVersion: p.RowVersion, Phase: p.Phase, SharePercent: p.SharePercent,
+		})
+	}
+	for _, s := range facts.Stops {
+		d.tracker.SetStop(&pb.MoveStop{Move: s.Move, Reason: s.Reason, Generation: s.Generation})
+	}
+	counters := make([]*pb.EvidenceCounter, 0, len(facts.Evidence))
+	for _, e := range facts.Evidence {
+		if e.Instance != d.self.Name {
+			counters = append(counters, counterOf(e))
+		}
+	}
+	d.tracker.Merge(counters)
+}
+
+func evidenceOf(c *pb.EvidenceCounter) membership.Evidence {
+	return membership.Evidence{
+		EvidenceKey: membership.EvidenceKey{
+			Move: c.GetMove(), Version: c.GetVersion(), Instance: c.GetInstance(),
+			Incarnation: c.GetIncarnation(), Window: c.GetWindow(),
+		},
+		Requests:           c.GetRequests(),
+		Failures:           c.GetFailures(),
+		FirstTokenMsSum:    c.GetFirstTokenMsSum(),
+		TokenIntervalUsSum: c.GetTokenIntervalUsSum(),
+		TokenIntervals:     c.GetTokenIntervals(),
+	}
+}
+
+func counterOf(e membership.Evidence) *pb.EvidenceCounter {
+	return &pb.EvidenceCounter{
+		Move: e.Move, Version: e.Version, Instance: e.Instance, Incarnation: e.Incarnation, Window: e.Window,
+		Requests:           e.Requests,
+		Failures:           e.Failures,
+		FirstTokenMsSum:    e.FirstTokenMsSum,
+		TokenIntervalUsSum: e.TokenIntervalUsSum,
+		TokenIntervals:     e.TokenIntervals,
+	}
+}
+
+// managedEngines gives the controller the targets' management calls.
+type managedEngines struct {
+	client *engine.Client
+}
+
+// State implements controller.Engines.
+func (m managedEngines) State(ctx context.Context, t *pb.Target) (moves.TargetState, error) {
+	state, err := m.client.State(ctx, engine.Target{Name: t.GetName(), Address: t.GetAddress()})
+	return moves.TargetState{Name: t.GetName(), Versions: state.Versions, Loading: state.Loading}, err
+}
+
+// Order implements controller.Engines.
+func (m managedEngines) Order(ctx context.Context, t *pb.Target, fence int64, versions []string) error {
+	err := m.client.Order(ctx, engine.Target{Name: t.GetName(), Address: t.GetAddress()}, engine.Order{
+		Fence: fence, Versions: versions,
+	})
+	var stale *engine.StaleFenceError
+	if errors.As(err, &stale) {
+		return controller.ErrStaleFence
+	}
+	return err
+}
+
+// runController holds the controller's lease whenever it is free and drives the
+// moves while it is held.
+func (d *Daemon) runController(ctx context.Context, p Platform, leases *lease.Manager) {
+	for ctx.Err() == nil {
+		if !d.movesConfigured() {
+			// Without moves no instance needs the role, which saves the writes
+			// of its renewals.
+			sleep(ctx, time.Second)
+			continue
+		}
+		err := leases.Run(ctx, controllerLease, func(ctx context.Context, held *lease.Lease) {
+			d.drive(ctx, p, held)
+		})
+		if err != nil && ctx.Err() == nil {
+			d.log.Warn("controller lease", zap.Error(err))
+			sleep(ctx, time.Second)
+		}
+	}
+}
+
+// drive runs the controller until the lease ends or no move is configured.
+func (d *Daemon) drive(ctx context.Context, p Platform, held *lease.Lease) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c, err := controller.New(controller.Settings{
+		Table:    p.Table,
+		Lease:    held,
+		Snapshot: d.watcher.Current,
+		View:     d.tracker,
+		Engines:  managedEngines{client: d.engine},
+		Publish: func(progress *pb.MoveProgress) {
+			d.members.AddProgress(membership.Progress{
+				Move:         progress.GetMove(),
+				RowVersion:   progress.GetRowVersion(),
+				Phase:        progress.GetPhase(),
+				SharePercent: progress.GetSharePercent(),
+			})
+		},
+		Log:   d.log,
+		Meter: d.metrics.Meter,
+	})
+	if err != nil {
+		d.log.Error("controller not started", zap.Error(err))
+		return
+	}
+	go func() {
+		for d.movesConfigured() && ctx.Err() == nil {
+			sleep(ctx, time.Second)
+		}
+		cancel()
+	}()
+	c.Run(ctx)
+}
+
+func (d *Daemon) movesConfigured() bool {
+	snapshot := d.watcher.Current()
+	return snapshot != nil && len(snapshot.Config().GetMoves()) > 0
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/config"
+	"github.com/basilloom/basilloom/controller"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
+	"github.com/basilloom/basilloom/moves"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/scheduler"
 )
@@ -22,6 +25,8 @@
 	store   *config.Store
 	watcher *config.Watcher
 	brokers *broker.Manager
+	table   platform.Table
+	tracker *moves.Tracker
 }
 
 // ApplyConfig implements the OperatorService.
@@ -47,6 +52,13 @@
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	case errors.As(err, &conflict):
 		return connect.NewError(connect.CodeAborted, err)
+	default:
+		return storeError(err)
+	}
+}
+
+func storeError(err error) error {
+	switch {
 	case errors.Is(err, platform.ErrUnavailable):
 		return connect.NewError(connect.CodeUnavailable, err)
 	case errors.Is(err, platform.ErrUnknown):
@@ -103,3 +115,64 @@
 	}
 	return status
 }
+
+// ListMoves implements the OperatorService.
+func (s *operatorService) ListMoves(ctx context.Context, _ *connect.Request[pb.ListMovesRequest]) (*connect.Response[pb.ListMovesResponse], error) {
+	all, err := s.moves(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.ListMovesResponse{Moves: all}), nil
+}
+
+// GetMove implements the OperatorService.
+func (s *operatorService) GetMove(ctx context.Context, r *connect.Request[pb.GetMoveRequest]) (*connect.Response[pb.GetMoveResponse], error) {
+	move, err := s.move(ctx, r.Msg.GetName())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.GetMoveResponse{Move: move}), nil
+}
+
+// CancelMove implements the OperatorService.
+func (s *operatorService) CancelMove(ctx context.Context, r *connect.Request[pb.CancelMoveRequest]) (*connect.Response[pb.CancelMoveResponse], error) {
+	move, err := s.move(ctx, r.Msg.GetName())
+	if err != nil {
+		return nil, err
+	}
+	row, err := controller.Cancel(ctx, s.table, move.GetMove(), r.Msg.GetOperator())
+	var lost *controller.CancelError
+	if errors.As(err, &lost) {
+		return nil, connect.NewError(connect.CodeAborted, err)
+	}
+	if err != nil {
+		return nil, storeError(err)
+	}
+	move.Row = row
+	return connect.NewResponse(&pb.CancelMoveResponse{Move: move}), nil
+}
+
+func (s *operatorService) moves(ctx context.Context) ([]*pb.MoveStatus, error) {
+	snapshot := s.watcher.Current()
+	if snapshot == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no configuration is in force"))
+	}
+	all, err := controller.Status(ctx, s.table, snapshot, s.tracker.StoppedLocally)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	return all, nil
+}
+
+func (s *operatorService) move(ctx context.Context, name string) (*pb.MoveStatus, error) {
+	all, err := s.moves(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range all {
+		if m.GetMove().GetName() == name {
+			return m, nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no move %q is configured", name))
+}
