load: open-loop load generator, baselines and reports

Cause: no tool measured what callers see; decisions of the scheduler could not be compared with simple policies on the same arrivals. Ruled out: times from the moment of sending, which hide a late sender; all times count from the arrival.

--- a/cmd/basilloom/main.go
+++ b/cmd/basilloom/main.go
@@ -30,6 +30,7 @@
 	Config  configCmd  `cmd:"" help:"Validate, apply and show the configuration."`
 	Move    moveCmd    `cmd:"" help:"Show, watch and cancel version moves."`
 	Targets targetsCmd `cmd:"" help:"List the targets as one instance sees them."`
+	Load    loadCmd    `cmd:"" help:"Generate load and report what the callers saw."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
 
