--- /dev/null
+++ b/internal/daemon/settings_test.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a setting that the operators' page does not list, or lists
+// with another variable or default.
+func TestOperationsPageListsSettings(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	settings := reflect.TypeFor[Settings]()
+	for i := range settings.NumField() {
+		field := settings.Field(i)
+		env := field.Tag.Get("env")
+		flag := strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(env, "BASILLOOM_"), "_", "-"))
+		row := "| `--" + flag + "` | `" + env + "` | "
+		if value, ok := field.Tag.Lookup("default"); ok {
+			row += "`" + value + "` |"
+		}
+		require.Contains(t, string(page), row, field.Name)
+	}
+}
+
+// Guards against settings errors that show one at a time.
+func TestValidateListsEveryWrongSetting(t *testing.T) {
+	s := Settings{
+		Callers: "localhost:1", Peers: "127.0.0.1:2", Operators: "127.0.0.1", PeerKey: "short",
+		TableEndpoint: "x", ObjectsEndpoint: "http://127.0.0.1:1", InstancesURL: "ftp://127.0.0.1",
+		TraceRatio: 2, ShutdownTimeout: 0,
+	}
+	err := s.Validate()
+	require.Error(t, err)
+	for _, flag := range []string{"--callers", "--operators", "--peer-key", "--table-endpoint", "--instances-url", "--trace-ratio", "--shutdown-timeout"} {
+		require.Contains(t, err.Error(), flag)
+	}
+	require.NotContains(t, err.Error(), "--objects-endpoint")
+}
