membership: keys leave suspects, check of doubted instances, list while alone

Cause: a key stayed with a dead or paused owner for the suspect timeout (3 s and more) after a periodic probe had found it, and an instance that started before the lagging list showed the others stayed alone until the next regular read of the list, up to 15 s later.

Owner passes over suspects while another instance remains. The list is read every second while no other instance is known. Ruled out: a shorter suspect timeout, which would also shorten the time to refute before an entry is dropped. A false suspicion now moves keys until it is refuted; that costs a re-send of soft state.

--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -25,6 +25,9 @@
 	ReprobeInterval = 5 * time.Second
 	// ListInterval is the mean time between reads of the platform's list.
 	ListInterval = 10 * time.Second
+	// LoneListInterval replaces ListInterval while no other instance is known, as
+	// for an instance that started before the lagging list showed the others.
+	LoneListInterval = RoundInterval
 	// ListTimeout bounds one read of the platform's list.
 	ListTimeout = 5 * time.Second
 	// FullViewInterval is the shortest time between full views that an instance
@@ -93,6 +96,7 @@
 	wake      chan struct{} // holds one token while urgent records wait
 	calls     chan struct{} // bounds concurrent outgoing calls
 	fullTo    chan Instance // asked for the full view
+	doubted   chan string   // names of instances to check at once
 	running   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -124,6 +128,7 @@
 		wake:      make(chan struct{}, 1),
 		calls:     make(chan struct{}, maxCalls),
 		fullTo:    make(chan Instance, 1),
+		doubted:   make(chan string, maxCalls),
 		rng:       options.Rand,
 		view:      NewView(options.Self, time.Now()),
 		facts:     NewFacts(),
@@ -228,6 +233,15 @@
 	e.signalUrgent()
 }
 
+// Doubt has an instance checked at once, on the evidence of a call outside the
+// exchange that got no answer. Without an answer to any probe it becomes a suspect.
+func (e *Exchanger) Doubt(name string) {
+	select {
+	case e.doubted <- name:
+	default: // the periodic exchange finds it too
+	}
+}
+
 // Leave marks the instance as leaving, tells peers and returns once they
 // answered or ctx ends.
 func (e *Exchanger) Leave(ctx context.Context) {
@@ -266,12 +280,14 @@
 		case <-reprobe.C:
 			reprobe.Reset(e.jitter(e.reprobe(ctx)))
 		case <-list.C:
-			list.Reset(e.jitter(ListInterval))
+			list.Reset(e.jitter(e.listInterval()))
 			e.start(func() { e.readList(ctx) })
 		case peer := <-e.fullTo:
 			if !e.start(func() { e.sendFullView(ctx, peer, false) }) {
 				e.endFullView()
 			}
+		case name := <-e.doubted:
+			e.start(func() { e.checkDoubted(ctx, name) })
 		case <-pause.C:
 			wake = e.wake
 		case <-wake:
--- a/membership/exchanger_test.go
+++ b/membership/exchanger_test.go
@@ -74,6 +74,55 @@
 	})
 }
 
+// Guards against a doubted instance that keeps its keys for seconds although no
+// probe reaches it, and against one that loses them although a probe does.
+func TestDoubtedInstanceLosesItsKeys(t *testing.T) {
+	within(t, 4, func(t *testing.T, f *fleet) {
+		members := f.startAll(9)
+		key := "pool/0"
+		owner, _ := members[0].Owner(key, "")
+		members[0].Doubt(owner.Name)
+		time.Sleep(2 * time.Second)
+		kept, _ := members[0].Owner(key, "")
+		require.Equal(t, owner, kept, "it answers")
+
+		var reporter *member
+		f.locked(func() { f.members[owner.Address].cutIt = true })
+		for _, m := range members {
+			if m.self.Name != owner.Name {
+				reporter = m
+			}
+		}
+		reporter.Doubt(owner.Name)
+		took, ok := timeUntil(20*time.Second, func() bool {
+			for _, m := range members {
+				if now, _ := m.Owner(key, ""); now.Name == owner.Name && m.self.Name != owner.Name {
+					return false
+				}
+			}
+			return true
+		})
+		require.True(t, ok)
+		require.Less(t, took, MinSuspectTimeout)
+		t.Log("successor known everywhere after", took)
+	})
+}
+
+// Guards against an instance that started before the list showed the others and
+// serves alone until the next regular read of the list.
+func TestLoneInstanceReadsListOften(t *testing.T) {
+	within(t, 5, func(t *testing.T, f *fleet) {
+		members := []*member{f.start(0, 1), f.start(1, 1)}
+		time.Sleep(500 * time.Millisecond)
+		f.locked(func() {
+			f.list = []platform.InstanceRecord{{Name: members[0].self.Name, Address: members[0].self.Address}}
+		})
+		took, ok := timeUntil(20*time.Second, func() bool { return agree(members) })
+		require.True(t, ok)
+		require.Less(t, took, 4*time.Second)
+	})
+}
+
 // Guards against urgent facts that reach an instance later than 2 s, at the
 // present and the planned size of the fleet, also with messages lost.
 func TestUrgentFactsSpread(t *testing.T) {
--- a/membership/outgoing.go
+++ b/membership/outgoing.go
@@ -144,9 +144,14 @@
 // checkFailed asks other peers to probe an instance that did not answer, and
 // suspects it unless one of them reaches it.
 func (e *Exchanger) checkFailed(ctx context.Context, peer Instance, cause error) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || e.reachedByHelpers(ctx, peer) || ctx.Err() != nil {
 		return
 	}
+	e.suspect(peer, cause)
+}
+
+// reachedByHelpers reports whether one of a few other peers reaches an instance.
+func (e *Exchanger) reachedByHelpers(ctx context.Context, peer Instance) bool {
 	e.mu.Lock()
 	helpers := e.randomPeers(ProbeHelpers, peer.Name)
 	e.mu.Unlock()
@@ -163,9 +168,27 @@
 	for range helpers {
 		reached = <-answers || reached
 	}
-	if reached || ctx.Err() != nil {
+	return reached
+}
+
+// checkDoubted probes an instance directly and through helpers at the same time.
+func (e *Exchanger) checkDoubted(ctx context.Context, name string) {
+	e.mu.Lock()
+	record, known := e.view.Get(name)
+	e.mu.Unlock()
+	if !known || record.State != StateLive {
 		return
 	}
+	indirect := make(chan bool, 1)
+	go func() { indirect <- e.reachedByHelpers(ctx, record.Instance) }()
+	_, err := e.send(ctx, record.Instance, e.request(name, 0), ProbeTimeout)
+	reached := <-indirect || err == nil
+	if !reached && ctx.Err() == nil {
+		e.suspect(record.Instance, err)
+	}
+}
+
+func (e *Exchanger) suspect(peer Instance, cause error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.view.Suspect(peer.Name, peer.Incarnation, time.Now()) {
@@ -209,6 +232,15 @@
 	}
 }
 
+func (e *Exchanger) listInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.view.Live()) <= 1 {
+		return LoneListInterval
+	}
+	return ListInterval
+}
+
 func (e *Exchanger) readList(ctx context.Context) {
 	if e.list == nil {
 		return
--- a/membership/view.go
+++ b/membership/view.go
@@ -221,20 +221,25 @@
 
 // Owner selects the owner of a key by rendezvous hashing over the live
 // instances. With a region, it prefers that region's instances, then those of
-// the view's own region, then all. It returns false if no instance is live.
+// the view's own region, then all. Suspects are passed over while another
+// instance remains, so that a key does not wait for the suspect timeout. It
+// returns false if no instance is live.
 func (v *View) Owner(key, region string) (Instance, bool) {
+	candidates := []string{region, v.self.Region, ""}
 	if region == "" {
-		return v.best(key, "")
+		candidates = candidates[2:]
 	}
-	for _, candidate := range []string{region, v.self.Region} {
-		if owner, ok := v.best(key, candidate); ok {
-			return owner, true
+	for _, suspects := range []bool{false, true} {
+		for _, candidate := range candidates {
+			if owner, ok := v.best(key, candidate, suspects); ok {
+				return owner, true
+			}
 		}
 	}
-	return v.best(key, "")
+	return Instance{}, false
 }
 
-func (v *View) best(key, region string) (Instance, bool) {
+func (v *View) best(key, region string, suspects bool) (Instance, bool) {
 	keyHash := xxhash.Sum64String(key)
 	var owner Instance
 	var highest uint64
@@ -244,7 +249,10 @@
 			continue
 		}
 		score := mix(keyHash ^ v.scores[i])
-		if !found || score > highest {
+		if found && score <= highest {
+			continue
+		}
+		if suspects || v.entries[candidate.Name].State != StateSuspect {
 			owner, highest, found = candidate, score, true
 		}
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -140,6 +140,28 @@
 	}
 }
 
+// Guards against keys that wait for the suspect timeout, and keys without an
+// owner when all others are suspects.
+func TestOwnerIsNoSuspect(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewView(at("self", 1), now)
+	v.Merge(record("i1", 1, StateLive, 0), now)
+	v.Merge(record("i2", 1, StateLive, 0), now)
+	v.Suspect("i1", 1, now)
+	owned := map[string]int{}
+	for k := range 200 {
+		owner, ok := v.Owner(fmt.Sprint("pool/", k), "")
+		require.True(t, ok)
+		owned[owner.Name]++
+	}
+	require.Zero(t, owned["i1"])
+	v.Suspect("i2", 1, now)
+	v.Leave(now)
+	owner, ok := v.Owner("pool/0", "")
+	require.True(t, ok, "a suspect is better than none")
+	require.NotEqual(t, "self", owner.Name)
+}
+
 // Guards against views that depend on the order of arrival: two instances would
 // elect different brokers for ever.
 func TestViewMergeOrder(t *testing.T) {
