broker: report owners that break streams or stay silent

Cause: after kill -9 of the broker instance the waiting tickets of the other entries were refused with no_target when their deadline (5 s) passed, because nothing told the membership before its periodic probe and the owner changed only with the suspect timeout. A paused broker's streams do not break at all.

A link reports an owner whose stream broke (not one that ended it) to the membership. While tickets wait and the owner has sent nothing for 500 ms, the link sends an empty request, which a broker answers with an empty response; without an answer within 500 ms it reports the owner. The owner still changes through the membership only. Ruled out: heartbeats of the broker on all streams, which cost an idle entry with 14 pools nearly its whole 2 KB/s.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -152,6 +152,35 @@
 	})
 }
 
+// Guards against tickets that wait for a paused owner without its being
+// reported, and against a report of an owner that runs but has nothing to grant.
+func TestSilentOwnerIsReported(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		reported := make(chan string, 16)
+		c := NewClient(ctx, ClientSettings{
+			Self: "entry", Incarnation: 1, Resolver: f, Opener: f, Log: zap.NewNop(),
+			Doubt: func(instance string) { reported <- instance },
+		})
+		first, _ := submit(c, time.Minute), submit(c, time.Minute)
+		_, err := first.Wait(ctx)
+		require.NoError(t, err)
+		first.Dispatched()
+		time.Sleep(5 * time.Second)
+		require.Empty(t, reported)
+
+		resume := make(chan struct{})
+		defer close(resume)
+		f.managers["a"].runners[testKey].events <- func(time.Time) []scheduler.Decision {
+			<-resume
+			return nil
+		}
+		time.Sleep(2 * time.Second)
+		require.NotEmpty(t, reported)
+		require.Equal(t, "a", <-reported)
+	})
+}
+
 // Guards against a slot that stays taken by a caller that has gone away.
 func TestWithdrawnTicketFreesItsPlace(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
--- a/broker/client.go
+++ b/broker/client.go
@@ -19,6 +19,11 @@
 	ownerCheckPeriod = 200 * time.Millisecond
 	reconnectMin     = 20 * time.Millisecond
 	reconnectMax     = time.Second
+	// maxSilence is how long an owner with waiting tickets may send nothing
+	// before it is asked for an answer, and answerTimeout how long that may take.
+	// With the membership's probe they bound the wait for a paused owner to 2 s.
+	maxSilence    = 500 * time.Millisecond
+	answerTimeout = 500 * time.Millisecond
 )
 
 // Stream is the client's side of one ticket stream.
@@ -42,6 +47,8 @@
 	Opener      Opener
 	// Local serves the groups that this instance owns without a connection.
 	Local *Manager
+	// Doubt is told of an owner that broke a stream or does not answer; may be nil.
+	Doubt func(instance string)
 	Log   *zap.Logger
 }
 
--- a/broker/link.go
+++ b/broker/link.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
@@ -28,10 +31,16 @@
 	out      *pb.TicketsRequest
 	backoff  time.Duration
 	retryAt  time.Time
+	// ping is set while an empty request is to be sent.
+	ping bool
+	// heard is when the owner last answered; asked is when an unanswered empty
+	// request was sent, zero without one.
+	heard, asked time.Time
 }
 
 type received struct {
 	stream   Stream
+	owner    string
 	response *pb.TicketsResponse
 	err      error
 }
@@ -72,6 +81,7 @@
 		case now := <-ticker.C:
 			l.expire(now)
 			l.followOwner()
+			l.checkSilence(now)
 		case <-l.retryTimer():
 		}
 	}
@@ -123,7 +133,8 @@
 		return
 	}
 	l.stream, l.peer = stream, owner
-	go l.receive(ctx, stream)
+	l.heard, l.asked = time.Now(), time.Time{}
+	go l.receive(ctx, stream, owner.Name)
 	l.out = l.resend()
 	l.out.Hello = hello
 }
@@ -156,11 +167,11 @@
 }
 
 // receive passes on responses until the stream ends.
-func (l *link) receive(ctx context.Context, stream Stream) {
+func (l *link) receive(ctx context.Context, stream Stream, owner string) {
 	for {
 		response, err := stream.Receive()
 		select {
-		case l.received <- received{stream, response, err}:
+		case l.received <- received{stream, owner, response, err}:
 		case <-ctx.Done():
 			return
 		}
@@ -171,6 +182,11 @@
 }
 
 func (l *link) handle(r received) {
+	if r.err != nil && !errors.Is(r.err, io.EOF) && connect.CodeOf(r.err) != connect.CodeCanceled {
+		// Also of a stream that was given up because a send failed, whose
+		// error does not tell why.
+		l.doubt(r.owner)
+	}
 	if r.stream != l.stream {
 		return // from a stream that was given up
 	}
@@ -179,6 +195,7 @@
 		return
 	}
 	l.backoff = 0
+	l.heard, l.asked = time.Now(), time.Time{}
 	for _, m := range r.response.GetGrant() {
 		l.grant(m)
 	}
@@ -288,10 +305,43 @@
 	}
 }
 
+// checkSilence asks a silent owner for an answer while tickets wait, because
+// the stream to a paused process does not break. An owner that gives none is
+// reported; the stream is given up when the membership names another owner.
+func (l *link) checkSilence(now time.Time) {
+	if l.stream == nil || !l.hasWaiting() {
+		l.heard, l.asked = now, time.Time{}
+		return
+	}
+	switch {
+	case l.asked.IsZero() && now.Sub(l.heard) >= maxSilence:
+		l.ping, l.asked = true, now
+	case !l.asked.IsZero() && now.Sub(l.asked) >= answerTimeout:
+		l.doubt(l.peer.Name)
+		l.ping, l.asked = true, now
+	}
+}
+
+func (l *link) hasWaiting() bool {
+	for _, call := range l.calls {
+		if call.state == callWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *link) doubt(instance string) {
+	if doubt := l.client.settings.Doubt; doubt != nil && instance != l.client.settings.Self {
+		doubt(instance)
+	}
+}
+
 func (l *link) flush() {
-	if l.stream == nil || isEmpty(l.out) {
+	if l.stream == nil || (isEmpty(l.out) && !l.ping) {
 		return
 	}
+	l.ping = false
 	request := l.out
 	l.out = &pb.TicketsRequest{}
 	if err := l.stream.Send(request); err != nil {
@@ -316,6 +366,7 @@
 	}
 	_ = l.stream.Close() // the peer notices the end of the stream either way
 	l.stream = nil
+	l.ping = false
 	l.out = &pb.TicketsRequest{}
 }
 
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -192,6 +192,9 @@
 		if r.sessions[s.entry()] != s {
 			return nil
 		}
+		if isEmpty(m) {
+			s.push(&pb.TicketsResponse{}) // the entry asks whether the broker runs
+		}
 		var decisions []scheduler.Decision
 		for _, running := range m.GetRunning() {
 			t := toTicket(now, s.hello, running.GetTicket(), r.weight(running.GetTicket().GetWorkspace()))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -186,6 +186,7 @@
 		Resolver:    d.groups,
 		Opener:      ticketOpener{pool: d.peers},
 		Local:       d.brokers,
+		Doubt:       d.members.Doubt,
 		Log:         d.log,
 	})
 }
