load: overload experiment, broker: decision trace

Cause: the targets of the overload were never measured against baselines. Hooks.Decided traces the decisions of a group (off by default); the experiment checks them for refusals of a higher tier while a lower one was served. Ruled out: separate processes for the instances; one process takes 0.4 of a core, so the processor does not bound the run.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -198,3 +198,29 @@
 		require.Equal(t, "a", notOwner.Owner)
 	})
 }
+
+// Guards against a trace that misses a decision or names the wrong tier, with
+// which a refusal of a higher tier would pass unseen.
+func TestTraceNamesTierOfEachDecision(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		var traced []TracedDecision
+		f.managers["a"].TraceDecisions(func(d TracedDecision) { traced = append(traced, d) })
+		c := newTestClient(ctx, f)
+		begun := time.Now()
+		first := c.Submit(testKey, &pb.Ticket{Workspace: "w", Tier: 1}, begun.Add(time.Minute))
+		_, err := first.Wait(ctx)
+		require.NoError(t, err)
+		first.Dispatched()
+		_, err = c.Submit(testKey, &pb.Ticket{Workspace: "w", Tier: 2}, begun.Add(time.Second)).Wait(ctx)
+		require.Error(t, err)
+		first.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+		synctest.Wait()
+		require.Len(t, traced, 2)
+		require.IsType(t, scheduler.Grant{}, traced[0].Decision)
+		require.IsType(t, scheduler.Refuse{}, traced[1].Decision)
+		require.Equal(t, []scheduler.Rank{1, 2}, []scheduler.Rank{traced[0].Tier, traced[1].Tier})
+		require.Equal(t, testKey, traced[1].Group)
+		require.GreaterOrEqual(t, traced[1].Time.Sub(traced[1].Submitted), 900*time.Millisecond)
+	})
+}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -40,6 +40,8 @@
 	AskFloor func(ctx context.Context, sibling GroupKey, from int, highest scheduler.Rank, valid time.Duration) error
 	// Quarantined tells the other instances of suspects and quarantined requests.
 	Quarantined func([]scheduler.QuarantineEntry)
+	// Decided gets every decision on a ticket. The group waits for its return.
+	Decided func(TracedDecision)
 }
 
 // Manager runs the groups that this instance owns.
@@ -71,6 +73,13 @@
 	}
 }
 
+// TraceDecisions sets the Decided hook of groups that start later.
+func (m *Manager) TraceDecisions(decided func(TracedDecision)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hooks.Decided = decided
+}
+
 // Join opens a session for an entry. It returns a *NotOwnerError if another
 // instance owns the group.
 func (m *Manager) Join(hello *pb.Hello) (*Session, error) {
@@ -118,6 +127,7 @@
 		versions: make(map[string][]string),
 		weight:   m.source.Weight,
 		hooks:    m.hooks,
+		trace:    newTracer(key, m.hooks.Decided),
 		log:      m.log.With(zap.Stringer("group", key)),
 		done:     make(chan struct{}),
 		cancel:   cancel,
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -36,6 +36,7 @@
 	versions map[string][]string
 	weight   func(workspace string) float64
 	hooks    Hooks
+	trace    *tracer
 	// died is set by a completion that may have changed the quarantine.
 	died   bool
 	log    *zap.Logger
@@ -61,7 +62,7 @@
 		case e := <-r.events:
 			decisions = r.batch(e)
 		case <-ticker.C:
-			decisions = r.group.Tick(time.Now())
+			decisions = r.handleEvent(r.group.Tick)
 		}
 		r.deliver(time.Now(), decisions)
 		r.askFloors(ctx, decisions)
@@ -109,11 +110,11 @@
 // batch handles the event and those that wait behind it, so that entries get
 // few messages with many records.
 func (r *runner) batch(first event) []scheduler.Decision {
-	decisions := first(time.Now())
+	decisions := r.handleEvent(first)
 	for range maxBatch {
 		select {
 		case e := <-r.events:
-			decisions = append(decisions, e(time.Now())...)
+			decisions = append(decisions, r.handleEvent(e)...)
 		default:
 			return decisions
 		}
@@ -121,6 +122,11 @@
 	return decisions
 }
 
+func (r *runner) handleEvent(e event) []scheduler.Decision {
+	now := time.Now()
+	return r.trace.decided(now, e(now))
+}
+
 func (r *runner) deliver(now time.Time, decisions []scheduler.Decision) {
 	if len(decisions) == 0 {
 		return
@@ -203,12 +209,16 @@
 		for _, c := range m.GetComplete() {
 			r.died = r.died || c.GetResult() == pb.Result_RESULT_TARGET_DIED
 			decisions = append(decisions, r.group.Complete(now, toCompletion(s.hello, c))...)
+			r.trace.ended(ticketID(s.hello, c.GetId()))
 		}
 		for _, sequence := range m.GetWithdraw() {
 			decisions = append(decisions, r.group.Withdraw(now, ticketID(s.hello, sequence))...)
+			r.trace.ended(ticketID(s.hello, sequence))
 		}
 		for _, t := range m.GetSubmit() {
-			decisions = append(decisions, r.group.Submit(now, toTicket(now, s.hello, t, r.weight(t.GetWorkspace())))...)
+			ticket := toTicket(now, s.hello, t, r.weight(t.GetWorkspace()))
+			r.trace.submitted(now, ticket)
+			decisions = append(decisions, r.group.Submit(now, ticket)...)
 		}
 		return decisions
 	}
--- a/cmd/basilloom/load.go
+++ b/cmd/basilloom/load.go
@@ -2,24 +2,30 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
 	"github.com/basilloom/basilloom/engine"
 	"github.com/basilloom/basilloom/internal/load"
+	"github.com/basilloom/basilloom/internal/load/experiment"
 )
 
 type loadCmd struct {
-	Callers  []string      `help:"Base URLs of instances' callers' listeners."`
-	Token    []string      `help:"Bearer tokens of workspaces; each call takes one by the seed." env:"BASILLOOM_TOKENS"`
-	Engines  []string      `help:"Base URLs of the stand-in engines, for the prefill counts and the baselines."`
-	Services []string      `help:"Base URLs of services, for the baselines."`
-	Mix      string        `help:"Mix of requests." enum:"plumage-box,clearwater" default:"plumage-box"`
-	Policy   string        `help:"Scheduler, or a baseline that sends straight to the engines." enum:"basilloom,round-robin,least-load" default:"basilloom"`
-	Rate     float64       `help:"Mean arrivals per second." default:"10"`
-	Duration time.Duration `help:"Time of the arrivals." default:"20s"`
-	Seed     uint64        `help:"Seed of arrivals and prompts." default:"1"`
+	Callers    []string      `help:"Base URLs of instances' callers' listeners."`
+	Token      []string      `help:"Bearer tokens of workspaces; each call takes one by the seed." env:"BASILLOOM_TOKENS"`
+	Engines    []string      `help:"Base URLs of the stand-in engines, for the prefill counts and the baselines."`
+	Services   []string      `help:"Base URLs of services, for the baselines."`
+	Mix        string        `help:"Mix of requests." enum:"plumage-box,clearwater" default:"plumage-box"`
+	Policy     string        `help:"Scheduler, or a baseline that sends straight to the engines." enum:"basilloom,round-robin,least-load" default:"basilloom"`
+	Rate       float64       `help:"Mean arrivals per second." default:"10"`
+	Duration   time.Duration `help:"Time of the arrivals." default:"20s"`
+	Experiment string        `help:"Start engines and instances in this process and compare the policies: overload. Ignores the addresses and --rate." enum:"none,overload" default:"none"`
+	Factors    []float64     `help:"Loads of the experiment in multiples of the engines' capacity." default:"0.7,1,2"`
+	Policies   []string      `help:"Policies of the experiment." enum:"basilloom,round-robin,least-load" default:"basilloom,round-robin,least-load"`
+	Capacity   float64       `help:"Capacity in requests/s; 0 measures it." default:"0"`
+	Seed       uint64        `help:"Seed of arrivals and prompts." default:"1"`
 }
 
 // Run generates the load and prints the report.
@@ -31,6 +37,9 @@
 	if c.Rate <= 0 || c.Duration <= 0 {
 		return errors.New("--rate and --duration must be above 0")
 	}
+	if c.Experiment == "overload" {
+		return c.overload(e, mix)
+	}
 	sender, closeSender, err := c.sender(e.ctx)
 	if err != nil {
 		return err
@@ -56,6 +65,32 @@
 	return report.WriteTable(e.stdout)
 }
 
+// overload prints one report for each load and policy.
+func (c *loadCmd) overload(e *env, mix load.Mix) error {
+	capacity := c.Capacity
+	if capacity == 0 {
+		measured, err := experiment.MeasureCapacity(e.ctx, mix, c.Seed)
+		if err != nil {
+			return err
+		}
+		capacity = measured
+	}
+	for _, factor := range c.Factors {
+		for _, policy := range c.Policies {
+			result, err := experiment.Run(e.ctx, experiment.Settings{
+				Mix: mix, Policy: policy, Seed: c.Seed, Capacity: capacity, Factor: factor, Duration: c.Duration,
+			})
+			if err != nil {
+				return fmt.Errorf("policy %s at %g times the capacity: %w", policy, factor, err)
+			}
+			if err := printResult(e, result); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (c *loadCmd) sender(ctx context.Context) (load.Sender, func(), error) {
 	if c.Policy == "basilloom" {
 		if len(c.Callers) == 0 {
@@ -73,3 +108,10 @@
 	direct := load.NewDirect(policy, load.Targets(c.Services), client, fmt.Sprintf("load-%d", time.Now().UnixNano()))
 	return direct, func() { cancel(); client.Close() }, nil
 }
+
+func printResult(e *env, result experiment.Result) error {
+	if e.json {
+		return json.NewEncoder(e.stdout).Encode(result)
+	}
+	return result.WriteTable(e.stdout)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -259,6 +259,12 @@
 	return d.callers.Addr().String(), d.peering.Addr().String(), d.operators.Addr().String()
 }
 
+// TraceDecisions has every decision of the groups of this instance passed to the
+// function. Call it before Run.
+func (d *Daemon) TraceDecisions(decided func(broker.TracedDecision)) {
+	d.brokers.TraceDecisions(decided)
+}
+
 func (d *Daemon) fleetSize() int { return len(d.members.Live()) }
 
 // Run serves until ctx ends, then shuts down gracefully: it leaves the
--- /dev/null
+++ b/internal/load/experiment/experiment.go
@@ -0,0 +1,141 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/basilloom/basilloom/engine"
+	"github.com/basilloom/basilloom/internal/load"
+	standin "github.com/basilloom/basilloom/internal/standin/engine"
+)
+
+// Policies in the order of the report.
+const (
+	Basilloom  = "basilloom"
+	RoundRobin = "round-robin"
+	LeastLoad  = "least-load"
+)
+
+// slowFactor is the slowdown of one engine after half of the arrivals.
+const slowFactor = 4
+
+// Settings of one run.
+type Settings struct {
+	Mix    load.Mix
+	Policy string
+	Seed   uint64
+	// Capacity is the measured capacity in requests/s and Factor the load in
+	// multiples of it.
+	Capacity float64
+	Factor   float64
+	Duration time.Duration
+}
+
+// Result of one run.
+type Result struct {
+	load.Report
+	Factor float64 `json:"factor"`
+	// Top is the top tier without the calls that the slowed engine ran.
+	Top load.TierReport `json:"top_without_slowed_engine"`
+	// TopOnSlowed counts the top-tier calls that began on the slowed engine
+	// after it turned slow, TopCaught those that ran on it at that moment.
+	TopOnSlowed int `json:"top_sent_to_slowed_engine"`
+	TopCaught   int `json:"top_caught_on_slowed_engine"`
+	// Inversions is nil for the baselines.
+	Inversions *Inversions `json:"inversions,omitempty"`
+}
+
+// Run makes one run with engines of its own.
+func Run(ctx context.Context, s Settings) (Result, error) {
+	b, err := startBackends(s.Seed)
+	if err != nil {
+		return Result{}, err
+	}
+	defer b.close()
+	decisions := &trace{}
+	sender, stop, err := startSender(ctx, s, b, decisions)
+	if err != nil {
+		return Result{}, err
+	}
+	defer stop()
+	before, err := load.FetchStats(ctx, b.urls())
+	if err != nil {
+		return Result{}, err
+	}
+	slowed := b.engines[0]
+	ranBefore := make(chan map[string]int, 1)
+	timer := time.AfterFunc(s.Duration/2, func() {
+		ranBefore <- slowed.Runs()
+		slowed.SetFaults(standin.Faults{SlowFactor: slowFactor})
+	})
+	defer timer.Stop()
+	results := load.Run(ctx, s.Mix.Generate(s.Seed, s.Factor*s.Capacity, s.Duration), sender)
+	after, err := load.FetchStats(ctx, b.urls())
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{Report: load.Summarize(s.Mix, results), Factor: s.Factor}
+	result.Policy, result.Seed, result.Rate, result.Seconds = s.Policy, s.Seed, s.Factor*s.Capacity, s.Duration.Seconds()
+	result.Prefill = load.NewPrefill(results, after.Sub(before))
+	result.judgeSlowed(s.Mix, results, slowed.Runs(), <-ranBefore)
+	if s.Policy == Basilloom {
+		inversions := decisions.inversions()
+		result.Inversions = &inversions
+	}
+	return result, nil
+}
+
+// WriteTable writes the result for people.
+func (r Result) WriteTable(w io.Writer) error {
+	_, _ = fmt.Fprintf(w, "\n%.1f times the capacity: ", r.Factor)
+	if err := r.Report.WriteTable(w); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "top tier without the slowed engine: goodput %.1f%%, first token in time %.1f%%, interval in time %.1f%%; sent to the slowed engine %d, caught on it %d\n",
+		100*r.Top.Goodput, 100*r.Top.FirstTokenInTime, 100*r.Top.IntervalInTime, r.TopOnSlowed, r.TopCaught)
+	if r.Inversions == nil {
+		return nil
+	}
+	_, err := fmt.Fprintf(w, "decisions: %d grants, %d refusals, %d cancellations; refusals while a lower tier was served: %d for capacity, %d for the deadline\n",
+		r.Inversions.Grants, r.Inversions.Refusals, r.Inversions.Cancels, r.Inversions.Capacity, r.Inversions.Deadline)
+	return err
+}
+
+// judgeSlowed sets the top tier's figures without the slowed engine.
+func (r *Result) judgeSlowed(mix load.Mix, results []load.Result, ran, before map[string]int) {
+	var elsewhere []load.Result
+	top := mix.Tiers()[0].Rank
+	for _, one := range results {
+		switch {
+		case one.Call.Class.Tier.Rank != top:
+		case ran[one.RequestID] == 0:
+			elsewhere = append(elsewhere, one)
+		case before[one.RequestID] == 0:
+			r.TopOnSlowed++
+		case one.Good():
+			elsewhere = append(elsewhere, one)
+		default:
+			r.TopCaught++
+		}
+	}
+	r.Top = load.Summarize(mix, elsewhere).Tiers[0]
+}
+
+// startSender starts the instances, or a baseline's sender.
+func startSender(ctx context.Context, s Settings, b *backends, decisions *trace) (load.Sender, func(), error) {
+	if s.Policy != Basilloom {
+		ctx, cancel := context.WithCancel(ctx)
+		client := engine.NewClient()
+		policy := load.NewPolicy(ctx, s.Policy, load.Targets(b.urls()), client)
+		services := load.Targets([]string{b.serviceURL()})
+		return load.NewDirect(policy, services, client, "run"), func() { cancel(); client.Close() }, nil
+	}
+	f, err := startFleet(ctx, s.Mix, b, decisions.add)
+	if err != nil {
+		return nil, nil, fmt.Errorf("start the instances: %w", err)
+	}
+	callers := load.NewCallers(f.callers(), workspaceTokens)
+	return callers, func() { callers.Close(); f.close() }, nil
+}
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -35,6 +35,8 @@
 	OutputTokens int
 	// NoteShare is the part of the requests whose prompt begins with a note.
 	NoteShare float64
+	// Uncancellable work is finished also when a higher tier needs its place.
+	Uncancellable bool
 }
 
 // Mix is a set of classes with the notes that their prompts share.
@@ -62,7 +64,7 @@
 // production (a plan of 1,500 tokens lasts longer than a run), in proportion.
 func plumage() Mix {
 	return Mix{Name: "plumage-box", Classes: []Class{
-		{Name: "plans", Model: "plans", Share: 0.08, PromptTokens: 600, OutputTokens: 240,
+		{Name: "plans", Model: "plans", Share: 0.08, PromptTokens: 600, OutputTokens: 240, Uncancellable: true,
 			Tier: Tier{Name: "plans", Rank: 0, FirstToken: firstToken, TokenInterval: tokenPace}},
 		{Name: "chat", Model: "chat", Share: 0.40, PromptTokens: 200, OutputTokens: 80,
 			Tier: Tier{Name: "interactive", Rank: 1, FirstToken: chatFirst, TokenInterval: tokenPace}},
@@ -79,7 +81,7 @@
 	return Mix{Name: "clearwater", Notes: 40, NoteTokens: 4000, Classes: []Class{
 		{Name: "questions", Model: "field-questions", Share: 0.30, PromptTokens: 120, OutputTokens: 60, NoteShare: 0.2,
 			Tier: Tier{Name: "field", Rank: 0, FirstToken: firstToken, TokenInterval: tokenPace}},
-		{Name: "clearance-plans", Model: "clearance-plans", Share: 0.15, PromptTokens: 100, OutputTokens: 180, NoteShare: 1,
+		{Name: "clearance-plans", Model: "clearance-plans", Share: 0.15, PromptTokens: 100, OutputTokens: 180, NoteShare: 1, Uncancellable: true,
 			Tier: Tier{Name: "plans", Rank: 1, FirstToken: planFirst, TokenInterval: tokenPace}},
 		{Name: "tags", Model: "photo-tags", Share: 0.55, PromptTokens: 40, OutputTokens: 12,
 			Tier: Tier{Name: "batch", Rank: 2, FirstToken: batchFirst, TokenInterval: relaxedPace}},
@@ -120,3 +122,13 @@
 
 // PromptTokens estimates the length of the prompt.
 func (c *Call) PromptTokens() int { return prefix.Tokens(len(c.Prompt)) }
+
+// MeanOutputTokens is the mean number of generated tokens of a request.
+func (m Mix) MeanOutputTokens() float64 {
+	tokens, shares := 0.0, 0.0
+	for _, c := range m.Classes {
+		tokens += c.Share * float64(c.OutputTokens)
+		shares += c.Share
+	}
+	return tokens / shares
+}
