--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,7 +190,7 @@
 	d.watcher = config.NewWatcher(config.WatcherOptions{
 		Store:     config.NewStore(p.Table, p.Objects, time.Now),
 		Peers:     &configPeers{self: d.self.Name, pool: d.peers, members: d.members},
-		FleetSize: d.fleetSize,
+		FleetSize: d.FleetSize,
 		Logger:    d.log,
 	})
 	d.tracker = d.newTracker()
@@ -225,7 +225,7 @@
 	}
 	d.entry = entry.New(entry.Settings{
 		Snapshot:  d.watcher.Current,
-		FleetSize: d.fleetSize,
+		FleetSize: d.FleetSize,
 		Tickets:   d.tickets,
 		Engine:    d.engine,
 		Versions:  routeVersions{d.tracker},
@@ -295,7 +295,8 @@
 	d.brokers.TraceDecisions(decided)
 }
 
-func (d *Daemon) fleetSize() int { return len(d.members.Live()) }
+// FleetSize returns the number of live instances in this instance's view.
+func (d *Daemon) FleetSize() int { return len(d.members.Live()) }
 
 // Run serves until ctx ends, then shuts down gracefully: it leaves the
 // membership, ends the requests in flight and stops.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -65,7 +65,7 @@
 }
 
 func (d *Daemon) observe(ctx context.Context, o metric.Observer, g *gauges) {
-	o.ObserveInt64(g.instances, int64(d.fleetSize()))
+	o.ObserveInt64(g.instances, int64(d.FleetSize()))
 	if snapshot := d.watcher.Current(); snapshot != nil {
 		o.ObserveInt64(g.generation, snapshot.Generation())
 	}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,148 @@
+// Package demo runs a small deployment in one process: instances in two
+// regions, unlike engines, five tiers and one version move.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
+	"github.com/basilloom/basilloom/internal/embedded"
+	"github.com/basilloom/basilloom/internal/load"
+	standin "github.com/basilloom/basilloom/internal/standin/engine"
+	"github.com/basilloom/basilloom/internal/standin/service"
+)
+
+const (
+	seed       = 1
+	rate       = 40 // requests/s
+	loadTime   = 18 * time.Second
+	loadLag    = 500 * time.Millisecond
+	versionFee = 500 * time.Millisecond // time that an engine takes to load a version
+	watchEvery = 200 * time.Millisecond
+	moveGrace  = 5 * time.Second
+)
+
+// ErrMove tells that the version move did not end as it should.
+var ErrMove = errors.New("the version move was not completed")
+
+type namedEngine struct {
+	name   string
+	kind   hardware
+	server *standin.Server
+}
+
+// Run runs the demo and prints what happens. It takes about 25 s.
+func Run(ctx context.Context, out io.Writer) error {
+	engines, orders, err := startTargets()
+	defer func() {
+		for _, e := range engines {
+			e.server.Close()
+		}
+		if orders != nil {
+			orders.Close()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	say(out, "started %d stand-in engines of %d kinds and 1 plain service", len(engines), len(kinds))
+	fleet, err := embedded.Start(ctx, places, configuration(engines, "http://"+orders.Address(), time.Now()), zap.NewNop(), nil)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	say(out, "%d instances are ready in 2 regions; generation 1 is in force", len(places))
+	say(out, "sending %d requests a second in %d tiers for %v; route chat moves from %s to %s", rate, len(mix.Classes), loadTime, oldVersion, newVersion)
+	watch, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	moved := make(chan *pb.MoveRow, 1)
+	go watchMove(watch, out, fleet.Operators(), moved)
+	callers := load.NewCallers(fleet.Callers(), []string{token})
+	defer callers.Close()
+	results := load.Run(ctx, mix.Generate(seed, rate, loadTime), callers)
+	row := endOfMove(moved)
+	if err := load.Summarize(mix, results).WriteTable(out); err != nil {
+		return fmt.Errorf("print the outcomes: %w", err)
+	}
+	if row.GetPhase() != pb.MovePhase_MOVE_PHASE_DONE {
+		return fmt.Errorf("%w: %s", ErrMove, row.GetPhase())
+	}
+	say(out, "version move %s: done", moveName)
+	return nil
+}
+
+func startTargets() ([]namedEngine, *service.Service, error) {
+	var engines []namedEngine
+	for _, kind := range kinds {
+		for n := range kind.count {
+			server, err := standin.Listen(embedded.Loopback, standin.Settings{
+				Versions:               []string{oldVersion},
+				PrefillTokensPerSecond: kind.prefill,
+				DecodeTokensPerSecond:  kind.decode,
+				LoadLag:                loadLag,
+				LoadTime:               versionFee,
+				Seed:                   seed + uint64(len(engines)),
+			})
+			if err != nil {
+				return engines, nil, fmt.Errorf("start an engine: %w", err)
+			}
+			engines = append(engines, namedEngine{engineName(kind, n), kind, server})
+		}
+	}
+	orders, err := service.Listen(embedded.Loopback, service.Settings{Seed: seed})
+	if err != nil {
+		return engines, nil, fmt.Errorf("start a service: %w", err)
+	}
+	return engines, orders, nil
+}
+
+// watchMove prints each change of the move and sends its last state.
+func watchMove(ctx context.Context, out io.Writer, server string, moved chan<- *pb.MoveRow) {
+	client := basilloomv1connect.NewOperatorServiceClient(http.DefaultClient, server)
+	var last pb.MovePhase
+	var step int32
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		response, err := client.GetMove(ctx, connect.NewRequest(&pb.GetMoveRequest{Name: moveName}))
+		if err != nil {
+			continue // asked again at the next tick
+		}
+		row := response.Msg.GetMove().GetRow()
+		if row.GetPhase() != last || row.GetStep() != step {
+			last, step = row.GetPhase(), row.GetStep()
+			say(out, "version move %s: %s, %g%% of the route's requests", moveName, last, row.GetSharePercent())
+		}
+		if last == pb.MovePhase_MOVE_PHASE_DONE || last == pb.MovePhase_MOVE_PHASE_TAKEN_BACK {
+			moved <- row
+			return
+		}
+	}
+}
+
+func endOfMove(moved <-chan *pb.MoveRow) *pb.MoveRow {
+	select {
+	case row := <-moved:
+		return row
+	case <-time.After(moveGrace):
+		return nil
+	}
+}
+
+func say(out io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(out, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+}
