moves: the baseline grows with the evidence of the new version

At full share the old version gets no more requests, so a baseline of its latest 100 that was fast by chance stays for ever and good evidence cannot outweigh it. Ruled out: a wider limit at full share (lets a slow version pass). Measured: TestFullShareAgainstLuckyBaseline failed before ("first token too slow") and passes now. Conclusion: the old version's earlier windows are added until it has as many requests as the new one.

--- a/moves/decide_test.go
+++ b/moves/decide_test.go
@@ -139,6 +139,15 @@
 	require.Equal(t, pb.MovePhase_MOVE_PHASE_DONE, decide(time.Minute, WindowOf(start)).Phase)
 }
 
+// Guards against a good version that waits for ever at full share, because the old
+// one gets no more requests and its latest few were fast by chance.
+func TestFullShareAgainstLuckyBaseline(t *testing.T) {
+	window := WindowOf(start)
+	old := append(series(window-9, 6000, 30, time.Second), series(window-1, 120, 0, 700*time.Millisecond)...)
+	missing, ok := good(testMove(), old, series(window, 5000, 25, time.Second), window)
+	require.True(t, ok, missing)
+}
+
 // Guards against unloading the new version before the old one is loaded, or while
 // another move of the pool needs it.
 func TestDesiredWhenTakingBack(t *testing.T) {
--- a/moves/verdict.go
+++ b/moves/verdict.go
@@ -15,7 +15,8 @@
 	// 1/evidenceRatio for each first window, however often it is checked.
 	evidenceRatio = 1e4
 	// baselineRequests is the evidence of the old version below which earlier
-	// windows are added.
+	// windows are added. They are also added while it is less than that of the new
+	// version, because at full share the old one gets no more requests.
 	baselineRequests = 100
 	// baselineSigma is the caution in the old version's failure ratio (Wilson bound).
 	baselineSigma = 2
@@ -66,7 +67,7 @@
 
 func badSince(move *pb.Move, from, to Series, start int64) (string, bool) {
 	current := to.since(start)
-	old := from.baseline(start, baselineRequests)
+	old := from.baseline(start, max(baselineRequests, current.Requests))
 	if failsMore(&old, &current, move.GetMaxFailureRatioIncrease()) {
 		return fmt.Sprintf("version %s failed %d of %d requests, version %s failed %d of %d",
 			move.GetTo(), current.Failures, current.Requests, move.GetFrom(), old.Failures, old.Requests), true
@@ -140,7 +141,7 @@
 	if current.Requests < wanted {
 		return fmt.Sprintf("%d of %d requests seen in this step", current.Requests, wanted), false
 	}
-	old := from.baseline(start, max(wanted, baselineRequests))
+	old := from.baseline(start, max(baselineRequests, current.Requests))
 	if current.failureRatio() > old.failureRatio()+move.GetMaxFailureRatioIncrease() {
 		return fmt.Sprintf("failure ratio %.4f against %.4f", current.failureRatio(), old.failureRatio()), false
 	}
