--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -22,6 +22,8 @@
 type instance struct {
 	*process
 	name      string
+	region    string
+	advertise string
 	callers   string
 	peers     string
 	operators string
@@ -51,16 +53,22 @@
 
 func (f *fleet) start(t *testing.T, name string) *instance {
 	t.Helper()
-	cmd := exec.Command(filepath.Join(programs, "basilloomd"),
-		"--instance="+name, "--region=west", "--zone=west-a",
-		"--callers=127.0.0.1:0", "--peers=127.0.0.1:0", "--operators=127.0.0.1:0")
+	return f.startIn(t, name, "west")
+}
+
+// startIn starts an instance in a region with further flags.
+func (f *fleet) startIn(t *testing.T, name, region string, flags ...string) *instance {
+	t.Helper()
+	args := append([]string{"--instance=" + name, "--region=" + region, "--zone=" + region + "-a",
+		"--callers=127.0.0.1:0", "--peers=127.0.0.1:0", "--operators=127.0.0.1:0"}, flags...)
+	cmd := exec.Command(filepath.Join(programs, "basilloomd"), args...)
 	cmd.Env = append(os.Environ(),
 		"BASILLOOM_PEER_KEY="+peerKey,
 		"BASILLOOM_TABLE_ENDPOINT="+f.table.url(""),
 		"BASILLOOM_OBJECTS_ENDPOINT="+f.objects.url(""),
 		"BASILLOOM_INSTANCES_URL="+f.list.url("/instances"))
 	p, lines := startProcess(t, name, cmd, (*exec.Cmd).StderrPipe)
-	i := &instance{process: p, name: name}
+	i := &instance{process: p, name: name, region: region}
 	deadline := time.After(startTimeout)
 	for i.callers == "" {
 		select {
@@ -93,7 +101,11 @@
 			continue
 		default:
 		}
-		records = append(records, platform.InstanceRecord{Name: i.name, Address: i.peers, Region: "west", Zone: "west-a"})
+		address := i.peers
+		if i.advertise != "" {
+			address = i.advertise
+		}
+		records = append(records, platform.InstanceRecord{Name: i.name, Address: address, Region: i.region, Zone: i.region + "-a"})
 	}
 	data, err := json.Marshal(records)
 	require.NoError(t, err)
@@ -111,19 +123,29 @@
 
 // apply writes the files to a folder and applies it by the command line.
 func (f *fleet) apply(t *testing.T, files map[string]string) {
+	t.Helper()
+	out, err := f.basilloom("config", "apply", writeFolder(t, files))
+	require.NoError(t, err, "%s", out)
+}
+
+func writeFolder(t *testing.T, files map[string]string) string {
 	t.Helper()
 	dir := t.TempDir()
 	for name, content := range files {
 		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600))
 	}
-	out, err := f.basilloom("config", "apply", dir)
-	require.NoError(t, err, "%s", out)
+	return dir
 }
 
 // basilloom runs the operators' command line against the first instance.
 func (f *fleet) basilloom(args ...string) (string, error) {
+	return f.instances[0].basilloom(args...)
+}
+
+// basilloom runs the operators' command line against the instance.
+func (i *instance) basilloom(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(programs, "basilloom"), args...)
-	cmd.Env = append(os.Environ(), "BASILLOOM_SERVER=http://"+f.instances[0].operators)
+	cmd.Env = append(os.Environ(), "BASILLOOM_SERVER=http://"+i.operators)
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
--- /dev/null
+++ b/test/e2e/load_test.go
@@ -0,0 +1,198 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilloom/basilloom/internal/standin/engine"
+)
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
+
+// modelsGroup is the group of the pool of model engines.
+const modelsGroup = "models/0"
+
+// prompted is one chat call of a load and its answer.
+type prompted struct {
+	answer
+	at           *instance
+	model        string
+	prompt       string
+	tokens       int
+	stream       bool
+	begun, ended time.Time
+}
+
+// load makes chat calls in the background.
+type load struct {
+	mu   sync.Mutex
+	done []prompted
+	wg   sync.WaitGroup
+	made int
+}
+
+// add starts a chat call whose prompt no other call has.
+func (l *load) add(i *instance, model string, tokens int, stream bool) {
+	l.mu.Lock()
+	l.made++
+	prompt := fmt.Sprintf("question %d through %s: which toys suit a cockatoo?", l.made, i.name)
+	l.mu.Unlock()
+	l.addPrompt(i, model, prompt, tokens, stream)
+}
+
+func (l *load) addPrompt(i *instance, model, prompt string, tokens int, stream bool) {
+	p := prompted{at: i, model: model, prompt: prompt, tokens: tokens, stream: stream, begun: time.Now()}
+	l.wg.Go(func() {
+		p.answer = i.chat(model, prompt, tokens, stream).perform()
+		p.ended = time.Now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.done = append(l.done, p)
+	})
+}
+
+// wait returns all calls once they have ended.
+func (l *load) wait() []prompted {
+	l.wg.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.done
+}
+
+// ended returns the number of calls that have ended.
+func (l *load) ended() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.done)
+}
+
+// requireWhole fails unless the answer is the whole answer to its own request.
+func (p prompted) requireWhole(t *testing.T) {
+	t.Helper()
+	require.Empty(t, p.Error, "%s at %s", p.prompt, p.at.name)
+	require.Equal(t, "served", p.outcome(), "%s at %s: %s", p.prompt, p.at.name, p.Body)
+	require.Equal(t, engine.ExpectedContent(p.requestID(), p.prompt, p.tokens), p.content(t))
+}
+
+func (p prompted) content(t *testing.T) string {
+	t.Helper()
+	if p.stream {
+		content, whole := streamedContent(p.Body)
+		require.True(t, whole, p.Body)
+		return content
+	}
+	var body struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	require.NoError(t, json.Unmarshal([]byte(p.Body), &body))
+	return body.Choices[0].Message.Content
+}
+
+// received returns how often each request id arrived at the engines.
+func received(t *testing.T, engines ...*standin) map[string]int {
+	t.Helper()
+	all := make(map[string]int)
+	for _, e := range engines {
+		var stats engine.Stats
+		getJSON(t, e.url("/stats"), &stats)
+		for id, n := range stats.Received {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+// requireOnce fails if a request arrived at the engines more than once, or if
+// one arrived whose caller was told that it did not run.
+func requireOnce(t *testing.T, calls []prompted, engines ...*standin) {
+	t.Helper()
+	all := received(t, engines...)
+	for id, n := range all {
+		require.Equal(t, 1, n, "request %s was dispatched twice", id)
+	}
+	for _, p := range calls {
+		if p.outcome() == "not-run" {
+			require.Zero(t, all[p.requestID()], "request %s ran but was refused as not run", p.requestID())
+		}
+	}
+}
+
+// waitReceived waits until the engines have received n requests.
+func waitReceived(t *testing.T, n int, engines ...*standin) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(received(t, engines...)) >= n }, startTimeout, pollInterval)
+}
+
+// holdsDuty tells from the log whether the instance runs the broker of a group.
+func (i *instance) holdsDuty(group string) bool {
+	holds := false
+	for _, line := range i.lines() {
+		if !strings.Contains(line, "broker duty") {
+			continue
+		}
+		var entry struct{ Msg, Group string }
+		if json.Unmarshal([]byte(line), &entry) == nil && entry.Group == group {
+			holds = entry.Msg == "broker duty taken"
+		}
+	}
+	return holds
+}
+
+func (i *instance) running() bool {
+	select {
+	case <-i.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// brokers returns the running instances that run the broker of a group.
+func (f *fleet) brokers(group string) []*instance {
+	var found []*instance
+	for _, i := range f.instances {
+		if i.running() && i.holdsDuty(group) {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// settle waits until the instances know each other, which shows in one broker
+// that serves the requests of all, and returns that instance and the others.
+func (f *fleet) settle(t *testing.T) (owner *instance, others []*instance) {
+	t.Helper()
+	f.waitReady(t)
+	require.Eventually(t, func() bool {
+		var l load
+		for _, i := range f.instances {
+			l.add(i, "plans", 1, false)
+		}
+		for _, p := range l.wait() {
+			if p.outcome() != "served" {
+				return false
+			}
+		}
+		return len(f.brokers(modelsGroup)) == 1
+	}, startTimeout, 10*pollInterval)
+	owner = f.brokers(modelsGroup)[0]
+	for _, i := range f.instances {
+		if i != owner {
+			others = append(others, i)
+		}
+	}
+	return owner, others
+}
+
+// withConcurrency lets each engine run n requests side by side.
+func withConcurrency(files map[string]string, n int) map[string]string {
+	files["50-targets.yaml"] = strings.ReplaceAll(files["50-targets.yaml"], "concurrency: 8", fmt.Sprintf("concurrency: %d", n))
+	return files
+}
