daemon: spread leaving targets, obey a target's own word

Cause: no instance called membership.Exchanger.AddLeaving, so a leaving target was known only with the configuration itself, and an engine whose /v1/state reports the role "leaving" got work for ever.

A new configuration's leaving targets are spread as facts. The broker asks for the state every second (before: every 2 s) and obeys and spreads a target's own word. Ruled out: ending the fact when the target takes its word back, because facts only grow; the next generation ends it.

--- a/broker/poll.go
+++ b/broker/poll.go
@@ -13,8 +13,9 @@
 const (
 	loadPeriod  = 500 * time.Millisecond
 	cacheRounds = 2 // cache events are asked for in every second round
-	// versionRounds: a version that has been loaded is used within 2 s.
-	versionRounds = 4
+	// versionRounds: a version that has been loaded is used within 1 s, and a
+	// target that says that it is leaving gets no work after about 1 s.
+	versionRounds = 2
 	maxPolls      = 16
 	// pollTimeout keeps one frozen target from delaying the reports of the others.
 	pollTimeout = loadPeriod
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -171,7 +171,7 @@
 		self:     d.self,
 		snapshot: d.watcher.Current,
 		members:  d.members,
-		leaving:  d.leaving.Leaving,
+		leaving:  d.leaving,
 		engine:   d.engine,
 	}
 	hooks := broker.Hooks{
@@ -309,6 +309,7 @@
 			return
 		case snapshot := <-snapshots:
 			d.members.SetGeneration(snapshot.Generation(), snapshot.Hash())
+			d.tellLeaving(snapshot)
 		case known := <-changes.Generation:
 			_ = d.watcher.Notice(known.Generation, known.Hash) // a conflict is logged there
 			continue
@@ -331,6 +332,22 @@
 	d.brokers.Refresh()
 }
 
+// tellLeaving spreads the leaving targets of a new configuration, and of those
+// that said so before it, as facts. They reach peers that cannot fetch the
+// configuration yet.
+func (d *Daemon) tellLeaving(snapshot *config.Snapshot) {
+	for _, t := range snapshot.Config().GetTargets() {
+		if t.GetLeaving() {
+			d.members.AddLeaving(membership.Leaving{Target: t.GetName(), Generation: snapshot.Generation()})
+		}
+	}
+	for _, target := range d.leaving.saidTargets() {
+		if snapshot.Target(target) != nil {
+			d.members.AddLeaving(membership.Leaving{Target: target, Generation: snapshot.Generation()})
+		}
+	}
+}
+
 func (d *Daemon) tellQuarantine(entries []scheduler.QuarantineEntry) {
 	now := time.Now()
 	for _, e := range entries {
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -17,7 +17,7 @@
 	self     membership.Instance
 	snapshot func() *config.Snapshot
 	members  *membership.Exchanger
-	leaving  func(target string) bool
+	leaving  *leavingTargets
 	engine   *engine.Client
 }
 
@@ -138,7 +138,7 @@
 		Concurrency:            int(t.GetConcurrency()),
 		PrefillTokensPerSecond: t.GetPrefillTokensPerSecond(),
 		DecodeTokensPerSecond:  t.GetDecodeTokensPerSecond(),
-		Leaving:                t.GetLeaving() || g.leaving(t.GetName()),
+		Leaving:                t.GetLeaving() || g.leaving.Leaving(t.GetName()),
 		Service:                pool.GetKind() == pb.PoolKind_POOL_KIND_SERVICE,
 	}
 }
@@ -162,8 +162,17 @@
 	return g.engine.CacheEvents(ctx, engine.Target{Name: t.Name, Address: t.Address}, after)
 }
 
-// Versions implements broker.Reports.
+// Versions implements broker.Reports. A target that says that it is leaving is
+// told to the other instances.
 func (g *groups) Versions(ctx context.Context, t broker.PollTarget) ([]string, error) {
 	state, err := g.engine.State(ctx, engine.Target{Name: t.Name, Address: t.Address})
-	return state.Versions, err
+	if err != nil {
+		return nil, err
+	}
+	leaving := state.Role == roleLeaving
+	g.leaving.setSaid(t.Name, leaving)
+	if snapshot := g.snapshot(); leaving && snapshot != nil {
+		g.members.AddLeaving(membership.Leaving{Target: t.Name, Generation: snapshot.Generation()})
+	}
+	return state.Versions, nil
 }
