--- a/broker/floor_test.go
+++ b/broker/floor_test.go
@@ -46,7 +46,10 @@
 func TestOwnPauseDoesNotMakeSiblingUnreachable(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
 		last := fillQueue(ctx, t, func(context.Context) error {
-			time.Sleep(4 * floorTimeout) // the process is paused past the timeout
+			select {
+			case <-time.After(4 * floorTimeout): // the process is paused past the timeout
+			case <-ctx.Done():
+			}
 			return context.DeadlineExceeded
 		})
 		time.Sleep(6 * floorTimeout)
