moves: a reused name of an ended move gets no traffic

Cause: a row and its progress named only the move; an operator who reused the name of a done move with another target version would have given that version the full share without evidence. Ruled out: a check in package config, which knows no rows; deleting rows, because done and taken back are never left. Measured: TestReusedNameGetsNoTraffic fails without the comparison (share 100) and passes with it. Conclusion: rows and progress carry a hash of route, from and to.

--- a/controller/rows.go
+++ b/controller/rows.go
@@ -33,6 +33,7 @@
 		RowVersion:   r.version,
 		Phase:        r.GetPhase(),
 		SharePercent: r.GetSharePercent(),
+		Definition:   r.GetDefinition(),
 	}
 }
 
--- a/internal/daemon/moves.go
+++ b/internal/daemon/moves.go
@@ -78,7 +78,7 @@
 func (d *Daemon) takeMoveFacts(facts membership.Snapshot) {
 	for _, p := range facts.Progress {
 		d.tracker.SetProgress(&pb.MoveProgress{
-			Move: p.Move, RowVersion: p.RowVersion, Phase: p.Phase, SharePercent: p.SharePercent,
+			Move: p.Move, RowVersion: p.RowVersion, Phase: p.Phase, SharePercent: p.SharePercent, Definition: p.Definition,
 		})
 	}
 	for _, s := range facts.Stops {
@@ -177,6 +177,7 @@
 				RowVersion:   progress.GetRowVersion(),
 				Phase:        progress.GetPhase(),
 				SharePercent: progress.GetSharePercent(),
+				Definition:   progress.GetDefinition(),
 			})
 		},
 		Log:   d.log,
--- a/membership/facts.go
+++ b/membership/facts.go
@@ -47,6 +47,8 @@
 	RowVersion   int64
 	Phase        pb.MovePhase
 	SharePercent float64
+	// Definition identifies the move that the row belongs to.
+	Definition uint64
 }
 
 // Quarantine is a request fingerprint that is refused until Expires.
--- a/membership/incoming.go
+++ b/membership/incoming.go
@@ -118,7 +118,7 @@
 	}
 	for _, p := range m.GetProgress() {
 		changed = e.mergeProgress(Progress{
-			Move: p.GetMove(), RowVersion: p.GetRowVersion(), Phase: p.GetPhase(), SharePercent: p.GetSharePercent(),
+			Move: p.GetMove(), RowVersion: p.GetRowVersion(), Phase: p.GetPhase(), SharePercent: p.GetSharePercent(), Definition: p.GetDefinition(),
 		}) || changed
 	}
 	for _, q := range m.GetQuarantine() {
--- a/membership/message.go
+++ b/membership/message.go
@@ -77,7 +77,7 @@
 		case kindProgress:
 			if p, ok := e.facts.progress.items[key.name]; ok {
 				out.progress = append(out.progress, &pb.MoveProgress{
-					Move: p.Move, RowVersion: p.RowVersion, Phase: p.Phase, SharePercent: p.SharePercent,
+					Move: p.Move, RowVersion: p.RowVersion, Phase: p.Phase, SharePercent: p.SharePercent, Definition: p.Definition,
 				})
 			}
 		case kindQuarantine:
--- a/moves/decide.go
+++ b/moves/decide.go
@@ -41,8 +41,12 @@
 			Move:       in.Move.GetName(),
 			Phase:      pb.MovePhase_MOVE_PHASE_PENDING,
 			PhaseSince: timestamppb.New(in.Now),
+			Definition: Definition(in.Move),
 		}, "move accepted"
 	}
+	if in.Row.GetDefinition() != Definition(in.Move) {
+		return nil, "the name belongs to another move"
+	}
 	if Terminal(in.Row.GetPhase()) {
 		return nil, "move has ended"
 	}
--- a/moves/decide_test.go
+++ b/moves/decide_test.go
@@ -118,7 +118,9 @@
 func TestSteps(t *testing.T) {
 	move := testMove()
 	move.Steps = []float64{5, 50}
-	row := &pb.MoveRow{Phase: pb.MovePhase_MOVE_PHASE_CANARY, SharePercent: 5, PhaseSince: timestamppb.New(start)}
+	row := &pb.MoveRow{
+		Phase: pb.MovePhase_MOVE_PHASE_CANARY, SharePercent: 5, PhaseSince: timestamppb.New(start), Definition: Definition(testMove()),
+	}
 	loaded := []TargetState{{Versions: []string{"v1", "v2"}}}
 	decide := func(after time.Duration, window int64) *pb.MoveRow {
 		next, _ := Decide(Input{Move: move, Row: row, Now: start.Add(after), Targets: loaded,
@@ -170,7 +172,9 @@
 	tr.SetMoves(1, []*pb.Move{testMove()})
 	route := &pb.Route{Name: "plans", Version: "v1"}
 	progress := func(version int64, phase pb.MovePhase, share float64) {
-		tr.SetProgress(&pb.MoveProgress{Move: "m", RowVersion: version, Phase: phase, SharePercent: share})
+		tr.SetProgress(&pb.MoveProgress{
+			Move: "m", RowVersion: version, Phase: phase, SharePercent: share, Definition: Definition(testMove()),
+		})
 	}
 	chosen := func() map[string]bool {
 		ids := map[string]bool{}
@@ -218,3 +222,19 @@
 	require.EqualValues(t, 6, sum.Requests)
 	require.EqualValues(t, 3, sum.Failures)
 }
+
+// Guards against a move that reuses the name of an ended one: it must not take
+// over the full share of that one without evidence.
+func TestReusedNameGetsNoTraffic(t *testing.T) {
+	done := &pb.MoveRow{Move: "m", Phase: pb.MovePhase_MOVE_PHASE_DONE, Definition: Definition(testMove())}
+	other := testMove()
+	other.From, other.To = other.GetTo(), "v3"
+	next, reason := Decide(Input{Move: other, Row: done, Now: start})
+	require.Nil(t, next)
+	require.Equal(t, "the name belongs to another move", reason)
+
+	tr := NewTracker(TrackerSettings{Instance: "a", Now: func() time.Time { return start }})
+	tr.SetMoves(1, []*pb.Move{other})
+	tr.SetProgress(&pb.MoveProgress{Move: "m", RowVersion: 9, Phase: done.GetPhase(), Definition: done.GetDefinition()})
+	require.Zero(t, tr.Share("m"))
+}
--- a/moves/phase.go
+++ b/moves/phase.go
@@ -3,8 +3,11 @@
 package moves
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
@@ -58,3 +61,9 @@
 	}
 	return steps
 }
+
+// Definition identifies what a move does, so that the row of an ended move does
+// not speak for another move that reuses its name.
+func Definition(move *pb.Move) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %q %q", move.GetRoute(), move.GetFrom(), move.GetTo()))
+}
--- a/moves/sim_test.go
+++ b/moves/sim_test.go
@@ -60,7 +60,7 @@
 		tr.SetMoves(1, []*pb.Move{move})
 		s.trackers = append(s.trackers, tr)
 	}
-	s.setRow(&pb.MoveRow{Move: "m", Phase: pb.MovePhase_MOVE_PHASE_LOADING})
+	s.setRow(&pb.MoveRow{Move: "m", Phase: pb.MovePhase_MOVE_PHASE_LOADING, Definition: Definition(s.move)})
 	return s
 }
 
@@ -74,7 +74,9 @@
 	s.version++
 	s.row = row
 	for _, tr := range s.trackers {
-		tr.SetProgress(&pb.MoveProgress{Move: "m", RowVersion: s.version, Phase: row.Phase, SharePercent: row.SharePercent})
+		tr.SetProgress(&pb.MoveProgress{
+			Move: "m", RowVersion: s.version, Phase: row.Phase, SharePercent: row.SharePercent, Definition: row.Definition,
+		})
 	}
 }
 
--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -176,6 +176,9 @@
 		return 0
 	}
 	progress := t.progress[move.GetName()]
+	if progress.GetDefinition() != Definition(move) {
+		return 0
+	}
 	switch progress.GetPhase() {
 	case pb.MovePhase_MOVE_PHASE_CANARY:
 		return min(progress.GetSharePercent(), Steps(move)[0])
