moves: evidence windows of 5 s; the demo's move completes

Cause: each step waits for its first full evidence window, up to 10 s; a move of two steps took 27 s in test/e2e and did not end within the demo. Ruled out: counting the window in which a step begins, because it mixes the shares of two steps.

--- a/internal/demo/config.go
+++ b/internal/demo/config.go
@@ -84,7 +84,7 @@
 		Targets: []*pb.Target{{Name: "orders-1", Pool: "orders", Region: "west", Zone: "west-a", Address: serviceURL, Concurrency: 32}},
 		Moves: []*pb.Move{{
 			Name: moveName, Route: "chat", From: oldVersion, To: newVersion,
-			Deadline: timestamppb.New(now.Add(moveDeadline)), Steps: []float64{10, 50, 100}, StepTime: durationpb.New(moveStep),
+			Deadline: timestamppb.New(now.Add(moveDeadline)), Steps: []float64{25, 100}, StepTime: durationpb.New(moveStep),
 			MinRequests: moveRequests, MaxFailureRatioIncrease: 0.02, MaxSlowdown: 2,
 		}},
 	}
--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -44,9 +44,9 @@
 	// which the full view is sent. A few differ whenever a change is under way.
 	MismatchesBeforeFull = 5
 	// EvidenceWindow is the length of an evidence window.
-	EvidenceWindow = 10 * time.Second
+	EvidenceWindow = 5 * time.Second
 	// EvidenceWindows is the number of past windows that are kept.
-	EvidenceWindows = 90
+	EvidenceWindows = 180
 	// QuarantineSlack is the growth of an expiry that is not news. Validity is
 	// sent as a remaining time, so each hop adds its delay.
 	QuarantineSlack = time.Second
--- a/moves/evidence.go
+++ b/moves/evidence.go
@@ -11,13 +11,13 @@
 
 const (
 	// WindowLength is the length of an evidence window, counted from the Unix epoch.
-	WindowLength = 10 * time.Second
+	WindowLength = 5 * time.Second
 	// openWindows is how long counters are kept apart by instance. Older windows
 	// are folded into one total, which bounds memory at large fleets; counters
 	// that arrive for a folded window are ignored.
-	openWindows = 30
+	openWindows = 60
 	// keptWindows bounds the history of a move to six hours.
-	keptWindows = 2160
+	keptWindows = 4320
 )
 
 // WindowOf returns the number of the window that contains the time.
--- a/moves/verdict.go
+++ b/moves/verdict.go
@@ -40,7 +40,7 @@
 
 // verdictSpans are the numbers of latest windows that are judged besides the
 // whole history. Short spans show badness that begins late.
-var verdictSpans = []int64{1, 2, 3, 6, 12, 30, 90}
+var verdictSpans = []int64{1, 2, 4, 8, 16, 60, 180}
 
 // Bad reports whether the new version is clearly worse than the old one and why.
 //
