daemon: source address setting; link stand-in with two sides

Cause: a configuration gives each target one address, and each instance advertises one, so the link stand-in could not cut two regions with more than one instance each: it also cut targets from their own side.

--source binds the connections to peers and targets to a local address, as a host with several needs it. The link passes connections from the side of their target at once. Ruled out: one configuration for each side, which is not what an operator has.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -118,11 +119,15 @@
 	Bandwidth float64       `help:"Bytes/s of each direction; 0 is unlimited." default:"3750000"`
 	Forward   []string      `help:"listen=target: connections from side A to side B."`
 	Backward  []string      `help:"listen=target: connections from side B to side A."`
+	SideA     netip.Prefix  `help:"Addresses of side A; connections from them to targets of side A do not cross the link."`
+	SideB     netip.Prefix  `help:"Addresses of side B; connections from them to targets of side B do not cross the link."`
 }
 
 // Run forwards until ctx ends. The listening address serves /stats and /fault.
 func (c *linkCommand) Run(ctx context.Context, out output) error {
-	l := link.New(link.Settings{Delay: c.Delay, BytesPerSecond: c.Bandwidth})
+	l := link.New(link.Settings{
+		Delay: c.Delay, BytesPerSecond: c.Bandwidth, Sides: [...]netip.Prefix{c.SideA, c.SideB},
+	})
 	defer l.Close()
 	var addresses []string
 	for _, side := range []struct {
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 )
 
@@ -52,11 +53,16 @@
 }
 
 // NewClient returns a Client with connections of its own.
-func NewClient() *Client {
+func NewClient() *Client { return NewClientFrom(netip.Addr{}) }
+
+// NewClientFrom returns a Client that connects from the given local address; the
+// zero address lets the system choose.
+func NewClientFrom(source netip.Addr) *Client {
+	dialer := dialerFrom(source)
 	return &Client{
-		transport: NewTransport(),
+		transport: newTransport(dialer),
 		manage: &http.Client{
-			Transport: &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2},
+			Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2},
 			Timeout:   manageTimeout,
 		},
 	}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -92,8 +93,17 @@
 }
 
 // NewTransport returns a Transport with connections of its own.
-func NewTransport() *Transport {
+func NewTransport() *Transport { return newTransport(dialerFrom(netip.Addr{})) }
+
+func dialerFrom(source netip.Addr) *net.Dialer {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return dialer
+}
+
+func newTransport(dialer *net.Dialer) *Transport {
 	base := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,9 +113,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("trace interceptor: %w", err)
 	}
+	source, err := settings.source()
+	if err != nil {
+		return nil, fmt.Errorf("source address: %w", err)
+	}
 	d.work, d.stop = context.WithCancel(context.Background())
-	d.peers = peer.NewPool(key, trace)
-	d.engine = engine.NewClient()
+	d.peers = peer.NewPoolFrom(source, key, trace)
+	d.engine = engine.NewClientFrom(source)
 	d.assembleControl(p)
 	if err := d.assembleEntry(p); err != nil {
 		return nil, err
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -20,6 +20,7 @@
 	Callers   string `default:"127.0.0.1:7071" env:"BASILLOOM_CALLERS" help:"Address of the callers' listener (ip:port)."`
 	Peers     string `default:"127.0.0.1:7072" env:"BASILLOOM_PEERS" help:"Address of the peers' listener (ip:port)."`
 	Advertise string `env:"BASILLOOM_ADVERTISE" help:"Address that peers connect to; the peers' listener if empty."`
+	Source    string `env:"BASILLOOM_SOURCE" help:"Local IP address of connections to peers and targets; chosen by the system if empty."`
 	Operators string `default:"127.0.0.1:7073" env:"BASILLOOM_OPERATORS" help:"Address of the operators' listener (ip:port)."`
 	PeerKey   string `required:"" env:"BASILLOOM_PEER_KEY" help:"Secret that all instances share, at least 16 bytes. Set it by environment."`
 
@@ -52,6 +53,9 @@
 	if s.Advertise != "" {
 		check("advertise", checkAddress(s.Advertise))
 	}
+	if _, err := s.source(); err != nil {
+		check("source", err)
+	}
 	if _, err := peer.NewKey(s.PeerKey); err != nil {
 		check("peer-key", err)
 	}
@@ -70,6 +74,17 @@
 	return errors.Join(wrong...)
 }
 
+func (s *Settings) source() (netip.Addr, error) {
+	if s.Source == "" {
+		return netip.Addr{}, nil
+	}
+	address, err := netip.ParseAddr(s.Source)
+	if err != nil {
+		return netip.Addr{}, fmt.Errorf("%q is not an IP address", s.Source)
+	}
+	return address, nil
+}
+
 func checkAddress(address string) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return fmt.Errorf("%q is not an IP address with a port", address)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,10 @@
 	Delay time.Duration
 	// BytesPerSecond is the bandwidth of each direction; 0 is unlimited.
 	BytesPerSecond float64
+	// Sides holds the addresses of the sides A and B. A connection from the side
+	// of its target passes at once, also while the link is cut, so that both
+	// sides can use one address for a target.
+	Sides [directions]netip.Prefix
 }
 
 // CutMode is what a cut link does to connections.
@@ -73,6 +78,7 @@
 	bytes       [directions]atomic.Int64
 	connections atomic.Int64
 	running     sync.WaitGroup
+	direct      *Link // joins the connections that stay on one side
 
 	mu        sync.Mutex
 	mode      CutMode       // empty when the link is up
@@ -99,6 +105,9 @@
 	for i := range l.limiters {
 		l.limiters[i] = rate.NewLimiter(limit, partBytes)
 	}
+	if settings.Sides != ([directions]netip.Prefix{}) {
+		l.direct = New(Settings{})
+	}
 	return l
 }
 
@@ -161,6 +170,9 @@
 	}
 	l.resetAll()
 	l.mu.Unlock()
+	if l.direct != nil {
+		l.direct.Close()
+	}
 	l.running.Wait()
 }
 
@@ -184,6 +196,12 @@
 		if err != nil {
 			return
 		}
+		if l.staysOnSide(conn, direction) {
+			if l.direct.register(conn) {
+				l.running.Go(func() { l.direct.connect(conn, direction, target) })
+			}
+			continue
+		}
 		if !l.register(conn) {
 			continue
 		}
@@ -192,6 +210,13 @@
 	}
 }
 
+// staysOnSide tells whether a connection comes from the side of its target.
+func (l *Link) staysOnSide(conn net.Conn, direction Direction) bool {
+	from, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	targetSide := l.settings.Sides[direction.other()] // AToB ends on side B, which is the second
+	return err == nil && targetSide.IsValid() && targetSide.Contains(from.Addr())
+}
+
 // register adds a connection, or resets it when the link is closed or resetting.
 func (l *Link) register(conn net.Conn) bool {
 	l.mu.Lock()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -141,6 +142,27 @@
 	require.Equal(t, "b", string(got))
 }
 
+// Guards against a cut that separates a target from its own side.
+func TestOwnSidePassesCutLink(t *testing.T) {
+	sides := [directions]netip.Prefix{netip.MustParsePrefix("127.0.1.0/24"), netip.MustParsePrefix("127.0.2.0/24")}
+	l, address := start(t, Settings{Sides: sides})
+	l.Cut(Reset)
+	dialFrom := func(source string) net.Conn {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		conn, err := dialer.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		require.NoError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
+		return conn
+	}
+	near := dialFrom("127.0.2.1")
+	_, err := near.Write([]byte("a"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(near, make([]byte, 1))
+	require.NoError(t, err)
+	require.ErrorContains(t, firstError(t, address), "reset")
+}
+
 // Guards against a reset that looks like a proper end, and a link that stays cut.
 func TestResetAndHeal(t *testing.T) {
 	l, address := start(t, Settings{})
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -87,11 +88,21 @@
 // NewPool returns a pool with its own transport. The interceptors, for instance
 // those of otelconnect, run before authentication is added.
 func NewPool(key Key, interceptors ...connect.Interceptor) *Pool {
+	return NewPoolFrom(netip.Addr{}, key, interceptors...)
+}
+
+// NewPoolFrom returns a pool that connects from the given local address; the
+// zero address lets the system choose.
+func NewPoolFrom(source netip.Addr, key Key, interceptors ...connect.Interceptor) *Pool {
+	dialer := &net.Dialer{Timeout: DialTimeout}
+	if source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Pool{
 		transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: DialTimeout}).DialContext,
+			DialContext:        dialer.DialContext,
 			Protocols:          protocols,
 			IdleConnTimeout:    IdleTimeout,
 			DisableCompression: true,
