broker: no grants for targets without reports

Cause: a target behind a cut link that neither refuses nor answers kept getting grants until its slots were full of requests that hung (trial of test/e2e: a call that came 5 s after the cut waited more than 30 s), since hanging requests count only after 4 times their expected time and 3 s.

The broker asks each engine for its load every 500 ms anyway. After three rounds without an answer the target is closed until it answers again. While no target answers, the fault is likely to be the broker's own, and none is closed. The time limit of a round now counts for each target, so that frozen targets do not take the time of the others. Ruled out: targets judged by the membership of their region, which would close a region's targets when its instances died.

Conclusion: a frozen or cut-off engine gets no grants after about 2 s.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -227,3 +228,27 @@
 		require.Equal(t, "a", notOwner.Owner)
 	})
 }
+
+// Guards against grants for a target that gives no reports while others do, and
+// against a group without targets when the fault is on the broker's side.
+func TestSilentTargetGetsNoGrants(t *testing.T) {
+	r := &runner{
+		targets: []scheduler.Target{{Name: "a"}, {Name: "b"}},
+		misses:  map[string]int{"a": maxMisses - 1},
+		group:   scheduler.NewGroup(scheduler.GroupConfig{}, rand.New(rand.NewPCG(1, 1))),
+		log:     zap.NewNop(),
+	}
+	leaving := func() []bool {
+		targets := r.usableTargets()
+		return []bool{targets[0].Leaving, targets[1].Leaving}
+	}
+	require.Equal(t, []bool{false, false}, leaving())
+	r.noteReport(time.Now(), "a", false)
+	require.Equal(t, []bool{true, false}, leaving())
+	for range maxMisses {
+		r.noteReport(time.Now(), "b", false)
+	}
+	require.Equal(t, []bool{false, false}, leaving(), "none reports")
+	r.noteReport(time.Now(), "a", true)
+	require.Equal(t, []bool{false, true}, leaving())
+}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -116,6 +116,7 @@
 		events:   make(chan event, eventQueue),
 		sessions: make(map[entryKey]*Session),
 		versions: make(map[string][]string),
+		misses:   make(map[string]int),
 		weight:   m.source.Weight,
 		hooks:    m.hooks,
 		log:      m.log.With(zap.Stringer("group", key)),
--- a/broker/poll.go
+++ b/broker/poll.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/basilloom/basilloom/scheduler"
 )
 
@@ -17,8 +20,12 @@
 	// target that says that it is leaving gets no work after about 1 s.
 	versionRounds = 2
 	maxPolls      = 16
-	// pollTimeout keeps one frozen target from delaying the reports of the others.
+	// pollTimeout bounds the reports of one target in one round.
 	pollTimeout = loadPeriod
+	// maxMisses is the number of consecutive rounds without a load report after
+	// which a target gets no grants: it is frozen or cannot be reached, and each
+	// request granted to it would be stuck or fail.
+	maxMisses = 3
 )
 
 // PollTarget is a target whose reports are asked for.
@@ -56,14 +63,14 @@
 
 // poll asks all targets once, maxPolls of them at a time.
 func (p *poller) poll(ctx context.Context, r *runner, targets []PollTarget, last *sequences, round int) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxPolls)
 	for _, target := range targets {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+			defer cancel()
 			p.pollLoad(ctx, r, target)
 			if round%cacheRounds == 0 {
 				p.pollCache(ctx, r, target, last)
@@ -86,21 +93,40 @@
 			return nil
 		}
 		r.versions[target.Name] = versions
-		return r.group.SetTargets(now, r.withVersions())
+		return r.group.SetTargets(now, r.usableTargets())
 	})
 }
 
 func (p *poller) pollLoad(ctx context.Context, r *runner, target PollTarget) {
 	report, err := p.reports.Load(ctx, target)
-	if err != nil {
-		return // the group judges a target by its requests
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return // the group stops
 	}
-	_ = r.post(ctx, func(now time.Time) []scheduler.Decision {
-		r.group.ObserveLoad(now, report)
-		return nil
+	// Not bound to ctx, which has ended after a report that took too long.
+	_ = r.post(context.WithoutCancel(ctx), func(now time.Time) []scheduler.Decision {
+		if err == nil {
+			r.group.ObserveLoad(now, report)
+		}
+		return r.noteReport(now, target.Name, err == nil)
 	})
 }
 
+// noteReport counts the rounds in which a target gave no load report. Decisions
+// arise when the target is taken out or comes back.
+func (r *runner) noteReport(now time.Time, target string, reported bool) []scheduler.Decision {
+	before := r.misses[target]
+	if reported {
+		delete(r.misses, target)
+	} else {
+		r.misses[target]++
+	}
+	if (before >= maxMisses) == (r.misses[target] >= maxMisses) {
+		return nil
+	}
+	r.log.Info("target reports changed", zap.String("target", target), zap.Bool("reports", reported))
+	return r.group.SetTargets(now, r.usableTargets())
+}
+
 func (p *poller) pollCache(ctx context.Context, r *runner, target PollTarget, last *sequences) {
 	events, err := p.reports.CacheEvents(ctx, target, last.get(target.Name))
 	if err != nil || len(events) == 0 {
@@ -137,14 +163,25 @@
 func (r *runner) setTargets(targets []scheduler.Target) event {
 	return func(now time.Time) []scheduler.Decision {
 		r.targets = targets
-		return r.group.SetTargets(now, r.withVersions())
+		return r.group.SetTargets(now, r.usableTargets())
 	}
 }
 
-// withVersions replaces the configured versions of targets by the loaded ones.
-func (r *runner) withVersions() []scheduler.Target {
+// usableTargets replaces the configured versions of targets by the loaded ones
+// and closes the targets that give no reports. While none gives any, the fault
+// is likely to be on this side, and the group judges by requests alone.
+func (r *runner) usableTargets() []scheduler.Target {
 	targets := slices.Clone(r.targets)
+	silent := 0
+	for _, t := range targets {
+		if r.misses[t.Name] >= maxMisses {
+			silent++
+		}
+	}
 	for i := range targets {
+		if silent < len(targets) && r.misses[targets[i].Name] >= maxMisses {
+			targets[i].Leaving = true
+		}
 		if versions, ok := r.versions[targets[i].Name]; ok {
 			targets[i].Versions = versions
 		}
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -34,8 +34,10 @@
 	// targets are the configured ones; versions holds what they have loaded.
 	targets  []scheduler.Target
 	versions map[string][]string
-	weight   func(workspace string) float64
-	hooks    Hooks
+	// misses counts the consecutive rounds without a load report of a target.
+	misses map[string]int
+	weight func(workspace string) float64
+	hooks  Hooks
 	// died is set by a completion that may have changed the quarantine.
 	died   bool
 	log    *zap.Logger
