membership: check the region of a doubted instance

An instance of another region that fails its check has the live instances of that region checked at once, at most 16 at a time. Ruled out: a flag for a whole region, which the instances of the other side would learn at different times.

Conclusion: bounded by one more check for up to 16 instances in a region; above that each further 16 cost about a second.

--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -96,7 +96,7 @@
 	wake      chan struct{} // holds one token while urgent records wait
 	calls     chan struct{} // bounds concurrent outgoing calls
 	fullTo    chan Instance // asked for the full view
-	doubted   chan string   // names of instances to check at once
+	doubted   chan doubt    // instances to check at once
 	running   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -128,7 +128,7 @@
 		wake:      make(chan struct{}, 1),
 		calls:     make(chan struct{}, maxCalls),
 		fullTo:    make(chan Instance, 1),
-		doubted:   make(chan string, maxCalls),
+		doubted:   make(chan doubt, maxCalls),
 		rng:       options.Rand,
 		view:      NewView(options.Self, time.Now()),
 		facts:     NewFacts(),
@@ -234,10 +234,22 @@
 }
 
 // Doubt has an instance checked at once, on the evidence of a call outside the
-// exchange that got no answer. Without an answer to any probe it becomes a suspect.
+// exchange that got no answer. Without an answer to any probe it becomes a
+// suspect, and if it is in another region the instances there are checked too:
+// the link may be cut, and the next owner of a key would be as silent.
 func (e *Exchanger) Doubt(name string) {
+	e.queueDoubt(doubt{name: name, region: true})
+}
+
+// doubt asks for a check of an instance, and of its region if it fails.
+type doubt struct {
+	name   string
+	region bool
+}
+
+func (e *Exchanger) queueDoubt(d doubt) {
 	select {
-	case e.doubted <- name:
+	case e.doubted <- d:
 	default: // the periodic exchange finds it too
 	}
 }
@@ -286,8 +298,8 @@
 			if !e.start(func() { e.sendFullView(ctx, peer, false) }) {
 				e.endFullView()
 			}
-		case name := <-e.doubted:
-			e.start(func() { e.checkDoubted(ctx, name) })
+		case d := <-e.doubted:
+			e.start(func() { e.checkDoubted(ctx, d) })
 		case <-pause.C:
 			wake = e.wake
 		case <-wake:
--- a/membership/outgoing.go
+++ b/membership/outgoing.go
@@ -172,19 +172,38 @@
 }
 
 // checkDoubted probes an instance directly and through helpers at the same time.
-func (e *Exchanger) checkDoubted(ctx context.Context, name string) {
+func (e *Exchanger) checkDoubted(ctx context.Context, d doubt) {
 	e.mu.Lock()
-	record, known := e.view.Get(name)
+	record, known := e.view.Get(d.name)
 	e.mu.Unlock()
 	if !known || record.State != StateLive {
 		return
 	}
 	indirect := make(chan bool, 1)
 	go func() { indirect <- e.reachedByHelpers(ctx, record.Instance) }()
-	_, err := e.send(ctx, record.Instance, e.request(name, 0), ProbeTimeout)
+	_, err := e.send(ctx, record.Instance, e.request(d.name, 0), ProbeTimeout)
 	reached := <-indirect || err == nil
-	if !reached && ctx.Err() == nil {
-		e.suspect(record.Instance, err)
+	if reached || ctx.Err() != nil {
+		return
+	}
+	e.suspect(record.Instance, err)
+	if d.region {
+		e.doubtRegion(record.Region)
+	}
+}
+
+// doubtRegion has the instances of another region checked.
+func (e *Exchanger) doubtRegion(region string) {
+	e.mu.Lock()
+	live, own := e.view.Live(), e.view.Self().Region
+	e.mu.Unlock()
+	if region == own {
+		return
+	}
+	for _, i := range live {
+		if i.Region == region {
+			e.queueDoubt(doubt{name: i.Name})
+		}
 	}
 }
 
