--- a/broker/manager.go
+++ b/broker/manager.go
@@ -134,7 +134,7 @@
 		cancel:   cancel,
 	}
 	m.runners[key] = r
-	r.events <- r.setTargets(settings.Targets)
+	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
 	m.wg.Go(func() { r.run(ctx) })
 	m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
 	r.log.Info("broker duty taken")
@@ -157,23 +157,36 @@
 		}
 		// A runner whose queue is full gets its targets at the next refresh.
 		select {
-		case r.events <- r.setTargets(settings.Targets):
+		case r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings)):
 		default:
 		}
 	}
 }
 
+// siblingOwners names the owner of each sibling group.
+func (m *Manager) siblingOwners(key GroupKey, settings GroupSettings) map[int]string {
+	owners := make(map[int]string, len(settings.Config.Siblings))
+	for _, shard := range settings.Config.Siblings {
+		owner, _ := m.resolver.Owner(GroupKey{Pool: key.Pool, Shard: shard})
+		owners[shard] = owner.Name
+	}
+	return owners
+}
+
 // AcceptFloor shuts out the tiers above highest in a group on behalf of a
-// sibling. It returns a *NotOwnerError if this instance does not run the group.
+// sibling. It starts the group if this instance owns it, so that the floor holds
+// for the group's first ticket. It returns a *NotOwnerError otherwise.
 func (m *Manager) AcceptFloor(ctx context.Context, key GroupKey, from int, highest scheduler.Rank, valid time.Duration) error {
-	m.mu.Lock()
-	r, ok := m.runners[key]
-	m.mu.Unlock()
-	if !ok {
-		return &NotOwnerError{Key: key}
+	owner, ok := m.resolver.Owner(key)
+	if !ok || owner.Name != m.self {
+		return &NotOwnerError{Key: key, Owner: owner.Name}
+	}
+	r, err := m.runner(key)
+	if err != nil {
+		return err
 	}
 	done := make(chan struct{})
-	err := r.post(ctx, func(now time.Time) []scheduler.Decision {
+	err = r.post(ctx, func(now time.Time) []scheduler.Decision {
 		defer close(done)
 		return r.group.AcceptFloor(now, from, highest, valid)
 	})
