broker: a span for the schedule hop of sampled requests

Cause: a trace had spans for caller, wait and dispatch but none at the broker; the ticket carried the trace context unused. Ruled out: a span for each batch of tickets, because a batch mixes requests. Measured: TestOneTraceAcrossAllHops failed without the span (no schedule in the trace) and passes with it; requests that are not sampled cost one comparison. Conclusion: one trace has POST, wait for grant, schedule and dispatch.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -125,6 +125,7 @@
 		events:   make(chan event, eventQueue),
 		sessions: make(map[entryKey]*Session),
 		versions: make(map[string][]string),
+		spans:    make(spans),
 		misses:   make(map[string]int),
 		weight:   m.source.Weight,
 		hooks:    m.hooks,
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -44,6 +44,7 @@
 	weight func(workspace string) float64
 	hooks  Hooks
 	trace  *tracer
+	spans  spans
 	// died is set by a completion that may have changed the quarantine.
 	died   bool
 	log    *zap.Logger
@@ -163,6 +164,7 @@
 		if !ok {
 			continue
 		}
+		r.spans.decided(now, d)
 		key := entryKey{id.Instance, id.Incarnation}
 		if responses[key] == nil {
 			responses[key] = &pb.TicketsResponse{}
@@ -202,7 +204,7 @@
 		key := s.entry()
 		if old, ok := r.sessions[key]; ok {
 			old.close()
-			r.group.EntryGone(now, key.instance, key.incarnation)
+			r.dropEntry(now, key)
 		}
 		r.sessions[key] = s
 		return nil
@@ -218,11 +220,20 @@
 			return nil
 		}
 		delete(r.sessions, key)
-		r.group.EntryGone(now, key.instance, key.incarnation)
+		r.dropEntry(now, key)
 		return nil
 	}
 }
 
+func (r *runner) dropEntry(now time.Time, key entryKey) {
+	r.group.EntryGone(now, key.instance, key.incarnation)
+	for id := range r.spans {
+		if id.Instance == key.instance && id.Incarnation == key.incarnation {
+			r.spans.end(now, id)
+		}
+	}
+}
+
 func (r *runner) handle(s *Session, m *pb.TicketsRequest) event {
 	return func(now time.Time) []scheduler.Decision {
 		if r.sessions[s.entry()] != s {
@@ -247,10 +258,12 @@
 		for _, sequence := range m.GetWithdraw() {
 			decisions = append(decisions, r.group.Withdraw(now, ticketID(s.hello, sequence))...)
 			r.trace.ended(ticketID(s.hello, sequence))
+			r.spans.end(now, ticketID(s.hello, sequence))
 		}
 		for _, t := range m.GetSubmit() {
 			ticket := toTicket(now, s.hello, t, r.weight(t.GetWorkspace()))
 			r.trace.submitted(now, ticket)
+			r.spans.begin(now, r.key, ticket.ID, t.GetTraceparent())
 			decisions = append(decisions, r.group.Submit(now, ticket)...)
 		}
 		return decisions
