engine, entry: resume streams for 3 s, tell a crashed target from a cut one

And any target that did not answer within a second after a broken connection passed for dead: with a cut link, all requests on its targets became suspects, and a second cut would have quarantined them for 10 minutes.

A stream is tried to be resumed every 100 ms for 3 s, unless the engine refuses connections. Only a target that refuses connections has died; one that resets or does not answer has failed. The caller now waits for this check (at most 1 s after a broken connection), so that a request that crashes engines is a suspect before its caller can send it again. Ruled out: treating silence as death, which a cut link causes as well; a crash of a whole host without a refusal is therefore counted as a failure and makes no suspects.

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"syscall"
+	"time"
 )
 
 // Headers of the engine protocol.
@@ -28,6 +30,11 @@
 	// maxErrorBytes bounds the body of an error answer.
 	maxErrorBytes = 64 << 10
 	maxResumes    = 3
+	// resumeTime bounds the attempts to resume a broken stream, so that it
+	// outlives a short fault of the connection. An engine that refuses
+	// connections has lost its streams, and is not tried again.
+	resumeTime     = 3 * time.Second
+	resumeInterval = 100 * time.Millisecond
 )
 
 // Target is the address of a back end.
@@ -230,25 +237,35 @@
 
 // resume replaces the broken response by the rest of the same stream.
 func (a *Answer) resume(ctx context.Context, after int64) bool {
-	if a.stream == "" || ctx.Err() != nil {
+	if a.stream == "" {
 		return false
 	}
+	for until := time.Now().Add(resumeTime); ctx.Err() == nil && time.Now().Before(until); sleep(ctx, resumeInterval) {
+		resp, err := a.reopen(ctx, after)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return false
+		}
+		if err != nil {
+			continue
+		}
+		if resp.StatusCode != http.StatusOK || resp.Header.Get(HeaderRequestID) != a.id {
+			_ = resp.Body.Close()
+			return false
+		}
+		a.Close()
+		a.resp = resp
+		return true
+	}
+	return false
+}
+
+func (a *Answer) reopen(ctx context.Context, after int64) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, a.target.Address+"/v1/streams/"+a.stream, nil)
 	if err != nil {
-		return false
+		return nil, err
 	}
 	req.Header.Set(headerLastEventID, strconv.FormatInt(after, 10))
-	resp, err := a.client.transport.RoundTrip(req, nil)
-	if err != nil {
-		return false
-	}
-	if resp.StatusCode != http.StatusOK || resp.Header.Get(HeaderRequestID) != a.id {
-		_ = resp.Body.Close()
-		return false
-	}
-	a.Close()
-	a.resp = resp
-	return true
+	return a.client.transport.RoundTrip(req, nil)
 }
 
 func readError(err error) error {
--- a/engine/manage.go
+++ b/engine/manage.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/basilloom/basilloom/scheduler"
@@ -16,6 +18,9 @@
 // manageTimeout bounds one management call.
 const manageTimeout = 3 * time.Second
 
+// goneInterval is the time between two looks at a target that may be gone.
+const goneInterval = 50 * time.Millisecond
+
 // State is what a target says of itself.
 type State struct {
 	Versions []string `json:"versions"`
@@ -136,18 +141,35 @@
 	return c.call(ctx, http.MethodPost, target.Address+"/v1/orders", order, nil)
 }
 
-// Alive tells whether the target accepts connections and answers a status call.
-func (c *Client) Alive(ctx context.Context, target Target) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.Address+"/v1/state", nil)
-	if err != nil {
-		return false
+// Gone tells whether the target refuses connections, as the host of a crashed
+// process does. A target that answers, or that cannot be reached until ctx ends,
+// is not known to be gone: the connection to it may have been cut.
+func (c *Client) Gone(ctx context.Context, target Target) bool {
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.Address+"/v1/state", nil)
+		if err != nil {
+			return false
+		}
+		resp, err := c.manage.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			return false
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		// A dying process may still accept a connection and reset it.
+		sleep(ctx, goneInterval)
 	}
-	resp, err := c.manage.Do(req)
-	if err != nil {
-		return false
+	return false
+}
+
+// sleep waits or returns when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	_ = resp.Body.Close()
-	return true
 }
 
 // call makes an idempotent management call.
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -159,3 +160,34 @@
 	require.True(t, dispatchErr.Written)
 	require.False(t, dispatchErr.Broken)
 }
+
+// Guards against a target behind a cut connection that passes for crashed, which
+// makes suspects of the requests that ran on it.
+func TestGoneMeansRefused(t *testing.T) {
+	client := NewClient()
+	t.Cleanup(client.Close)
+	gone := func(address string) bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		return client.Gone(ctx, Target{Address: "http://" + address})
+	}
+	answers := httptest.NewServer(http.NotFoundHandler())
+	defer answers.Close()
+	require.False(t, gone(answers.Listener.Addr().String()))
+
+	resets, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			conn, err := resets.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	require.False(t, gone(resets.Addr().String()))
+	require.NoError(t, resets.Close())
+	require.True(t, gone(resets.Addr().String()))
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -18,8 +18,8 @@
 
 const tracerName = "github.com/basilloom/basilloom/entry"
 
-// aliveTimeout bounds the check whether a target with a broken connection still runs.
-const aliveTimeout = time.Second
+// goneTimeout bounds the check whether a target with a broken connection is gone.
+const goneTimeout = time.Second
 
 var errPreempted = errors.New("cancelled in favour of a higher tier")
 
@@ -204,19 +204,16 @@
 }
 
 // completeBroken completes a run whose connection broke, once it is known
-// whether the target still runs. The caller does not wait for that.
+// whether the target is gone. The caller waits for that: a request that crashes
+// targets must be a suspect before its caller can send it again.
 func (e *Entry) completeBroken(r *run) {
-	e.inFlight.Add(1)
-	go func() {
-		defer e.inFlight.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
-		defer cancel()
-		result := pb.Result_RESULT_TARGET_DIED
-		if e.settings.Engine.Alive(ctx, r.target) {
-			result = pb.Result_RESULT_FAILED
-		}
-		r.call.Complete(r.completion(result))
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancel()
+	result := pb.Result_RESULT_FAILED
+	if e.settings.Engine.Gone(ctx, r.target) {
+		result = pb.Result_RESULT_TARGET_DIED
+	}
+	r.call.Complete(r.completion(result))
 }
 
 func (r *run) completion(result pb.Result) *pb.Completion {
