scheduler: prompts wait in the group, estimates without feedback, pace of tiers

Cause of missed top-tier objectives at twice the capacity (clearwater): - Prompts of lower tiers were granted while a slot was free and queued on the engine for seconds, where no higher tier can overtake them. A target is now closed while its granted prompts take longer than 100 ms. - A wait behind prompts that was predicted too short entered the fit as the target's overhead; overheads of 1 to 2 s were learned, the time of a prompt token became 0 and the next wait was predicted shorter still. The wait now enters the fit as prompt tokens. - Blocks of a prompt that is still computed counted as cached, though engines compute them again. - The margin for wrong estimates was absolute, so errors of long prompts refused short ones; it is now in proportion. The last useful dispatch counts it too: tickets that no target accepted stayed at the head of the queue and let lower tiers pass. - Tickets of a tier with an objective for the time between tokens now wait for a target that keeps it while there is time and the tier lacks no slots. The choice of a target waits for its grant, as a backlogged target is not granted at once; a local backlog still wins over a priced link. Ruled out: waiting for a prefix that is still computed; it let a lower tier be granted before a higher one (TestGroupStateMachine).

--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -75,6 +75,7 @@
 		Shard:         key.Shard,
 		QueueLimit:    int(pool.GetQueueLimit()),
 		TokenInterval: tokenInterval(snapshot, key.Pool),
+		TierIntervals: tierIntervals(snapshot),
 		Links:         regionLinks(snapshot),
 		LowestTier:    lowestTier(snapshot),
 	}
@@ -98,6 +99,14 @@
 	return strictest
 }
 
+func tierIntervals(snapshot *config.Snapshot) map[scheduler.Rank]time.Duration {
+	intervals := make(map[scheduler.Rank]time.Duration)
+	for _, tier := range snapshot.Config().GetTiers() {
+		intervals[scheduler.Rank(tier.GetRank())] = tier.GetTokenInterval().AsDuration()
+	}
+	return intervals
+}
+
 func lowestTier(snapshot *config.Snapshot) scheduler.Rank {
 	var lowest int32
 	for _, tier := range snapshot.Config().GetTiers() {
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -44,12 +44,16 @@
 
 // retryAfter estimates when the given number of tickets will have been served.
 func (c *capacity) retryAfter(ahead int) time.Duration {
+	return min(max(c.wait(ahead), minRetryAfter), maxRetryAfter)
+}
+
+// wait is the time in which the given number of tickets and one more get a slot.
+func (c *capacity) wait(ahead int) time.Duration {
 	mean := c.serviceTime
 	if mean == 0 {
 		mean = initialServiceTime.Seconds()
 	}
-	wait := seconds(mean * float64(ahead+1) / float64(max(1, c.slots)))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return seconds(mean * float64(ahead+1) / float64(max(1, c.slots)))
 }
 
 func (c *capacity) submitted(tier Rank) { c.lowest = max(c.lowest, tier) }
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -19,6 +19,12 @@
 	// loadSpread is the cost of a full target over an idle one; it only
 	// decides between targets that are otherwise alike.
 	loadSpread = 10 * time.Millisecond
+	// paceReserve is the time before the last useful dispatch at which a ticket
+	// stops waiting for a target that keeps its tier's time between tokens.
+	paceReserve = 500 * time.Millisecond
+	// refusalMemory is how long a tier that was refused something counts as short
+	// of slots.
+	refusalMemory = 5 * time.Second
 )
 
 // estimate is what running a ticket on a target is expected to take; times in seconds.
@@ -31,6 +37,13 @@
 	// inTime tells that the first token meets the deadline, inTimeIdle that it
 	// would without the prompts granted before.
 	inTime, inTimeIdle bool
+	// paced tells that the time between tokens meets the tier's objective, or
+	// that no target of the set would meet it; slack is what is left until the
+	// first token would be late.
+	paced bool
+	slack float64
+	// penalty is the price of the paid link.
+	penalty float64
 }
 
 // estimate is the cost of the ticket on the target: wait, prefill of what is
@@ -51,13 +64,15 @@
 		e.total = max(e.total, x.seconds+s.speed.total)
 	}
 	spread := loadSpread.Seconds() * float64(load) / float64(s.limiter.limit())
+	e.penalty = x.penalty
 	e.cost = e.total + x.penalty + spread + (g.cfg.PrefillWeight-1)*e.prefill
 	left := t.Deadline.Sub(now).Seconds() - x.seconds
 	e.first = e.wait + first
 	// Without the mean error about half of the tickets that are granted at the
 	// last moment would spend their prefill and still be late.
-	left -= s.speed.error
-	e.inTime = e.first <= left
+	left -= s.speed.margin(e.first)
+	e.slack = left - e.first
+	e.inTime = e.slack >= 0
 	e.inTimeIdle = e.inTime
 	if !e.inTime {
 		trust := s.speed.trust(now)
@@ -67,8 +82,9 @@
 	return e
 }
 
-// choose returns the open target of least cost that meets the ticket's
-// deadline. Without one, waits tells whether one would once its prompts are done.
+// choose returns the open target of least cost that meets the ticket's deadline
+// and, while there is time to wait for one, the tier's time between tokens.
+// Without one, waits tells whether one would once its prompts are done.
 func (g *Group) choose(now time.Time, w *waiting, open []*targetState) (best *targetState, chosen estimate, waits bool) {
 	chosen.cost = math.Inf(1)
 	consider := func(s *targetState) {
@@ -76,18 +92,75 @@
 			return
 		}
 		e := g.estimate(now, &w.ticket, s)
+		e.paced = g.paced(now, w, s)
 		switch {
 		case !e.inTime:
 			waits = waits || e.inTimeIdle
-		case e.cost < chosen.cost || (e.cost == chosen.cost && s.Name < best.Name):
+		case best == nil || e.better(chosen) || (!chosen.better(e) && s.Name < best.Name):
 			best, chosen = s, e
 		}
 	}
+	g.eachCandidate(w, open, consider)
+	if best != nil && (g.awaitsPace(now, w, chosen) || g.awaitsLocal(now, w, chosen)) {
+		return nil, chosen, waits
+	}
+	return best, chosen, waits
+}
+
+// awaitsPace tells whether the ticket should wait for a target with a better
+// pace: not when its tier needs every slot, as a lower tier would then be served
+// in its place.
+func (g *Group) awaitsPace(now time.Time, w *waiting, e estimate) bool {
+	tier := w.class.tier
+	if e.paced || now.Sub(tier.refused) < refusalMemory {
+		return false
+	}
+	queue := g.capacity.wait(g.queue.waitingUpTo(tier.rank))
+	return e.slack > (queue + paceReserve).Seconds()
+}
+
+// awaitsLocal tells whether a target that is closed for its backlog is cheaper
+// than the chosen one behind the paid link.
+func (g *Group) awaitsLocal(now time.Time, w *waiting, chosen estimate) bool {
+	if chosen.penalty == 0 {
+		return false
+	}
+	found := false
+	g.eachCandidate(w, w.class.set.members, func(s *targetState) {
+		if s.Region != w.ticket.Region || !s.backlogged(now) || !s.takesMore(now) || avoids(&w.ticket, s) {
+			return
+		}
+		e := g.estimate(now, &w.ticket, s)
+		found = found || (e.inTime && e.cost < chosen.cost)
+	})
+	return found
+}
+
+// better orders estimates: those that keep the tier's pace first, then by cost.
+func (e estimate) better(than estimate) bool {
+	if e.paced != than.paced {
+		return e.paced
+	}
+	return e.cost < than.cost
+}
+
+// paced tells whether one more request on the target keeps the objective of the
+// ticket's tier for the time between tokens.
+func (g *Group) paced(now time.Time, w *waiting, s *targetState) bool {
+	objective := g.cfg.TierIntervals[w.ticket.Tier].Seconds()
+	if objective == 0 || s.Service || w.class.set.interval > objective {
+		return true
+	}
+	return s.speed.intervalSeconds(s.load(now)+1) <= objective
+}
+
+// eachCandidate visits all open targets, or a sample if they are many.
+func (g *Group) eachCandidate(w *waiting, open []*targetState, consider func(*targetState)) {
 	if len(open) <= scanAll {
 		for _, s := range open {
 			consider(s)
 		}
-		return best, chosen, waits
+		return
 	}
 	for _, s := range g.openHolders(w) {
 		consider(s)
@@ -95,7 +168,6 @@
 	for range sampled {
 		consider(open[g.rng.IntN(len(open))])
 	}
-	return best, chosen, waits
 }
 
 // openHolders returns open targets that hold the longest known prefix of the ticket.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -23,6 +23,9 @@
 	// TokenInterval is the objective for the time between tokens, which limits
 	// the concurrency of targets; 0 means DefaultTokenInterval.
 	TokenInterval time.Duration
+	// TierIntervals holds the objective of each tier for the time between
+	// tokens; a tier without one runs at any pace.
+	TierIntervals map[Rank]time.Duration
 	// PrefillWeight values saved prefill in the choice of a target; 0 means 1,
 	// which counts it by its time alone.
 	PrefillWeight float64
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -117,6 +117,7 @@
 		ticket: w.ticket, target: s, granted: now, batch: s.load(now) + 1,
 		expected: seconds(e.total), wait: seconds(e.wait), prefill: seconds(e.prefill), firstToken: seconds(e.first),
 	}
+	r.ahead = e.wait / s.speed.perToken
 	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict == VerdictSuspect {
 		r.alone = true
 	}
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -72,6 +72,8 @@
 	// other prompts, prefill the part of its own prompt, firstToken that of both
 	// and the overhead.
 	expected, wait, prefill, firstToken time.Duration
+	// ahead is the wait in prompt tokens.
+	ahead float64
 	// batch is the number of requests on the target at the grant.
 	batch int
 	// older and newer are the neighbours among the tier's cancellable requests.
@@ -222,7 +224,7 @@
 func (g *Group) start(now time.Time, r *run) {
 	g.running[r.ticket.ID] = r
 	r.target.started(now, r.prefill)
-	r.target.index.dispatched(r.granted, r.ticket.Prefix)
+	r.target.index.dispatched(r.granted, r.target.prefillEnd, r.ticket.Prefix)
 	if r.alone {
 		r.target.alone = true
 	}
@@ -327,12 +329,12 @@
 		c.PromptTokens = r.ticket.PromptTokens
 	}
 	s.speed.check(r.firstToken, c.FirstToken)
-	slowness := s.speed.observe(now, c, r.wait, batch)
+	slowness := s.speed.observe(now, c, backlog{r.ahead, r.wait}, batch)
 	s.health.served(now, c.ID, slowness, g.rng)
 	if interval, ok := tokenInterval(c); ok && !s.Service {
 		s.limiter.observe(interval, s.speed.objective(g.cfg.TokenInterval), batch)
 	}
-	s.index.dispatched(now, r.ticket.Prefix)
+	s.index.dispatched(now, now, r.ticket.Prefix)
 	g.capacity.served(c.Total)
 }
 
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -46,6 +46,9 @@
 type indexEntry struct {
 	hash      uint64
 	confirmed time.Time
+	// ready is when the prompt that brings the block is expected to be done. An
+	// engine does not share the blocks of a prompt that it still computes.
+	ready time.Time
 	// blocks is the number of cache blocks since the previous sampled hash.
 	blocks   int
 	isUsed   bool
@@ -74,7 +77,7 @@
 	tokens, share := 0, 1
 	for i, hash := range hashes {
 		e, ok := x.entries[hash]
-		if !ok {
+		if !ok || e.ready.After(now) {
 			break
 		}
 		aged, alive := x.age(now, e)
@@ -105,11 +108,15 @@
 	return len(x.gaps) > 0 && e.confirmed.Before(x.gaps[len(x.gaps)-1]), true
 }
 
-// dispatched records the blocks of a request that was granted to the target.
-func (x *prefixIndex) dispatched(now time.Time, hashes []uint64) {
+// dispatched records the blocks of a request that was granted to the target and
+// whose prompt is expected to be done at the given time.
+func (x *prefixIndex) dispatched(now, ready time.Time, hashes []uint64) {
 	// Longest first, so that the shorter blocks, which the longer ones need, are evicted last.
 	for i, hash := range slices.Backward(hashes) {
-		x.use(now, hash, (1<<i+1)/2)
+		e := x.use(now, hash, (1<<i+1)/2)
+		if e.ready.IsZero() || ready.Before(e.ready) {
+			e.ready = ready
+		}
 	}
 	x.evict()
 }
@@ -123,7 +130,7 @@
 	}
 }
 
-func (x *prefixIndex) use(now time.Time, hash uint64, blocks int) {
+func (x *prefixIndex) use(now time.Time, hash uint64, blocks int) *indexEntry {
 	e, ok := x.entries[hash]
 	switch {
 	case !ok:
@@ -140,6 +147,7 @@
 		x.blocks += blocks
 	}
 	e.confirmed = now
+	return e
 }
 
 // observe applies the target's cache events.
@@ -197,7 +205,7 @@
 		e.position = x.announced.PushFront(e)
 		x.insert(e)
 	}
-	e.confirmed = now
+	e.confirmed, e.ready = now, now
 }
 
 func (x *prefixIndex) insert(e *indexEntry) {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -47,6 +47,8 @@
 	oldest    *waiting
 	newest    *waiting
 	count     int
+	// refused is when a ticket of the tier was last refused.
+	refused time.Time
 }
 
 // class holds the tickets of one tier that want the same version, so that a
--- a/scheduler/refuse.go
+++ b/scheduler/refuse.go
@@ -27,6 +27,7 @@
 
 // refuse removes a waiting ticket.
 func (g *Group) refuse(w *waiting, reason Reason, retryAfter time.Duration) Decision {
+	w.class.tier.refused = g.now
 	g.dropWaiting(w)
 	return Refuse{Ticket: w.ticket.ID, Reason: reason, RetryAfter: retryAfter}
 }
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -33,6 +33,13 @@
 	errorWeight = 0.1
 	// slownessWeight is the weight of a new sample in a target's slowness.
 	slownessWeight = 0.2
+	// maxMarginShare bounds the margin, so that a spell of wrong estimates does
+	// not refuse what a doubled estimate would let pass.
+	maxMarginShare = 1
+	// maxFirstTokenJump bounds a sample of the first token's time by its estimate.
+	maxFirstTokenJump = 3
+	// minPerToken bounds the learned time of a prompt token, by the initial estimate.
+	minPerToken = 0.1
 	// maxSlownessJump bounds a sample by the slowness so far, minSlowness keeps it above 0.
 	maxSlownessJump = 10
 	minSlowness     = 0.01
@@ -76,6 +83,12 @@
 	return intercept, slope
 }
 
+// priorSlope is the slope of the initial estimate.
+func (f *fit) priorSlope() float64 {
+	a, b := f.prior[0], f.prior[1]
+	return (b.y - a.y) / (b.x - a.x)
+}
+
 // speed is what is known of a target's speed.
 type speed struct {
 	// firstToken maps uncached prompt tokens to seconds until the first token.
@@ -91,8 +104,8 @@
 	// measured is the time of the last measurement, at first of the configuration.
 	measured time.Time
 	// error is the mean difference, in seconds, between a first token's estimate
-	// and its time.
-	error float64
+	// and its time, and expected the mean estimate.
+	error, expected float64
 	// total is the mean time of a whole request, in seconds; calls of services
 	// have no tokens to estimate it from.
 	total float64
@@ -125,19 +138,30 @@
 
 func (s *speed) refresh() {
 	s.base, s.perToken = s.firstToken.line()
+	s.perToken = math.Max(s.perToken, s.firstToken.priorSlope()*minPerToken)
 	s.intervalBase, s.perSlot = s.interval.line()
 }
 
+// backlog is the prompts that a request was predicted to wait for on its target.
+type backlog struct {
+	tokens float64
+	time   time.Duration
+}
+
 // observe learns from a served request and returns its time over the initial
-// estimate. wait is the part of the first token's time that was predicted to be
-// spent behind other prompts.
-func (s *speed) observe(now time.Time, c Completion, wait time.Duration, batch int) float64 {
+// estimate. ahead is the part of the first token's time that was predicted to be
+// spent behind other prompts. It enters the fit as tokens: as a time it would
+// make a wait that was predicted too short pass as the target's overhead, and
+// the next wait would be predicted shorter still.
+func (s *speed) observe(now time.Time, c Completion, ahead backlog, batch int) float64 {
 	uncached := float64(max(0, c.PromptTokens-c.CachedTokens))
 	first := c.FirstToken.Seconds()
 	expected := s.priorSeconds(uncached, c.OutputTokens, batch)
 	if first > 0 {
-		// A wait that was predicted too long must not make the target look instant.
-		s.firstToken.add(uncached, math.Max(first-wait.Seconds(), first/4))
+		tokens := uncached + ahead.tokens
+		// One request behind a prompt that the group does not know of must not
+		// pass as the target's speed.
+		s.firstToken.add(tokens, math.Min(first, maxFirstTokenJump*(s.base+s.perToken*tokens)))
 	}
 	if interval, ok := tokenInterval(c); ok {
 		s.interval.add(float64(batch), interval.Seconds())
@@ -150,7 +174,7 @@
 		s.total = c.Total.Seconds()
 	}
 	s.total += errorWeight * (c.Total.Seconds() - s.total)
-	ratio := (c.Total.Seconds() - math.Min(wait.Seconds(), first)) / expected
+	ratio := (c.Total.Seconds() - math.Min(ahead.time.Seconds(), first)) / expected
 	// One request of an outlying length must not make an outlier of its target.
 	sample := math.Min(ratio, maxSlownessJump*s.slowness)
 	s.slowness = math.Max(minSlowness, s.slowness+slownessWeight*(sample-s.slowness))
@@ -161,7 +185,25 @@
 func (s *speed) check(estimated, measured time.Duration) {
 	if measured > 0 {
 		s.error += errorWeight * ((estimated - measured).Abs().Seconds() - s.error)
+		s.expected += errorWeight * (estimated.Seconds() - s.expected)
+	}
+}
+
+// margin is the error to expect of an estimate. It is in proportion to the
+// estimate, so that the errors of long prompts do not refuse short ones.
+func (s *speed) margin(first float64) float64 {
+	if s.expected == 0 {
+		return s.error
 	}
+	return first * s.marginShare()
+}
+
+// marginShare is the margin as a part of the estimate.
+func (s *speed) marginShare() float64 {
+	if s.expected == 0 {
+		return 0
+	}
+	return math.Min(maxMarginShare, s.error/s.expected)
 }
 
 // forgetSlowness has an ejected target judged anew after its probe.
@@ -184,7 +226,12 @@
 
 // decodeSeconds estimates the time of the output tokens in a batch of the given size.
 func (s *speed) decodeSeconds(tokens, batch int) float64 {
-	return float64(tokens) * (s.intervalBase + s.perSlot*float64(batch))
+	return float64(tokens) * s.intervalSeconds(batch)
+}
+
+// intervalSeconds estimates the time between tokens in a batch of the given size.
+func (s *speed) intervalSeconds(batch int) float64 {
+	return s.intervalBase + s.perSlot*float64(batch)
 }
 
 // trust scales the estimates that a refusal rests on: 0 if no speed is known,
@@ -208,7 +255,7 @@
 // target that exceeds the group's objective even alone would be limited to one
 // request at a time and its batching wasted; it is held to its own speed.
 func (s *speed) objective(group time.Duration) time.Duration {
-	return max(group, seconds(priorBatchSlowdown*(s.intervalBase+s.perSlot)))
+	return max(group, seconds(priorBatchSlowdown*s.intervalSeconds(1)))
 }
 
 // Parameters of the concurrency limit.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -14,6 +14,11 @@
 	// grantTransit is the time from a grant until the target can count the
 	// request; a report that is younger by less does not include it.
 	grantTransit = 100 * time.Millisecond
+	// maxPrefillBacklog closes a target while the prompts granted to it take
+	// longer. An engine takes prompts in the order of their arrival, so a prompt
+	// that waits there cannot be overtaken by one of a higher tier. The backlog
+	// only has to keep the engine busy until the next grant arrives.
+	maxPrefillBacklog = grantTransit
 	// reportValidity is how long a load report counts.
 	reportValidity = 10 * time.Second
 )
@@ -60,6 +65,10 @@
 	// base and perToken are optimistic bounds of the first token's time over
 	// the members, in seconds.
 	base, perToken float64
+	// margin is the least margin of the members, as a part of the first token's time.
+	margin float64
+	// interval is the least time between tokens of any good member alone, in seconds.
+	interval float64
 }
 
 // setRef is a target's place in a version set; position is -1 while it is not open.
@@ -83,10 +92,21 @@
 }
 
 func (s *targetState) canOpen(now time.Time) bool {
+	return s.takesMore(now) && !s.backlogged(now)
+}
+
+// takesMore tells whether the target may get another request, but for its
+// backlog of prompts.
+func (s *targetState) takesMore(now time.Time) bool {
 	return !s.removed && !s.Leaving && !s.alone && s.reserved == nil &&
 		s.health.state == HealthGood && s.load(now) < s.limiter.limit()
 }
 
+// backlogged tells whether further prompts are better held in the group's queue.
+func (s *targetState) backlogged(now time.Time) bool {
+	return s.prefillEnd.Sub(now) > maxPrefillBacklog
+}
+
 func (s *targetState) started(now time.Time, prefill time.Duration) {
 	s.running++
 	s.prefillEnd = later(s.prefillEnd, now).Add(prefill)
@@ -164,20 +184,27 @@
 
 // setSpeeds recomputes the optimistic bounds of the set.
 func (v *versionSet) setSpeeds(now time.Time) {
-	v.base, v.perToken = math.Inf(1), math.Inf(1)
+	v.base, v.perToken, v.interval = math.Inf(1), math.Inf(1), math.Inf(1)
+	v.margin = maxMarginShare
 	for _, s := range v.members {
 		trust := s.speed.trust(now)
 		v.base = math.Min(v.base, trust*s.speed.base)
 		v.perToken = math.Min(v.perToken, trust*s.speed.perToken)
+		v.margin = math.Min(v.margin, trust*s.speed.marginShare())
+		if s.health.state == HealthGood {
+			v.interval = math.Min(v.interval, s.speed.intervalSeconds(1))
+		}
 	}
 }
 
-// firstToken is the least time in which any member could give a first token.
+// firstToken is the least time in which any member could give a first token,
+// with the margin that a grant needs. Without it, tickets that no target accepts
+// any more would stay at the head of the queue and let lower tiers pass.
 func (v *versionSet) firstToken(uncached int) time.Duration {
 	if len(v.members) == 0 {
 		return 0
 	}
-	return seconds(v.base + v.perToken*float64(uncached))
+	return seconds((v.base + v.perToken*float64(uncached)) * (1 + v.margin))
 }
 
 // rebuildSets assigns the targets to version sets anew. Sets keep their
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -14,6 +14,8 @@
 	g.reclaimUnused(now)
 	for _, s := range g.order {
 		g.openForProbe(now, s)
+		// The backlog of prompts shrinks with time alone.
+		g.refreshOpen(s)
 	}
 	if now.Sub(g.swept) >= sweepInterval {
 		g.swept = now
