scheduler: room below the objective in the pace of a target

Cause: top-tier requests were sent to slow engines whose expected time between tokens was just within 32 ms; prompts that came later made about half of them miss it. A target has the pace if its estimate takes 85% of the objective.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -22,6 +22,10 @@
 	// paceReserve is the time before the last useful dispatch at which a ticket
 	// stops waiting for a target that keeps its tier's time between tokens.
 	paceReserve = 500 * time.Millisecond
+	// paceShare is the part of the objective that the expected time between
+	// tokens may take. Prompts that arrive later slow the target down, so with
+	// the whole objective about half of the requests would miss it.
+	paceShare = 0.85
 	// refusalMemory is how long a tier that was refused something counts as short
 	// of slots.
 	refusalMemory = 5 * time.Second
@@ -151,7 +155,7 @@
 	if objective == 0 || s.Service || w.class.set.interval > objective {
 		return true
 	}
-	return s.speed.intervalSeconds(s.load(now)+1) <= objective
+	return s.speed.intervalSeconds(s.load(now)+1) <= paceShare*objective
 }
 
 // eachCandidate visits all open targets, or a sample if they are many.
