test/fuzz: world of several instances, oracle and broken builds

Cause: nothing checked the nine invariants over several instances and faults together. One goroutine runs scheduler groups, claims, configuration watchers, leases, membership views and facts in virtual time; entry, broker links and targets are small fakes. The oracle knows the invariants alone. Ruled out: broker.Manager and broker.Client themselves, whose goroutines and random seeds of their own would make traces differ.

--- /dev/null
+++ b/test/fuzz/oracle_test.go
@@ -0,0 +1,266 @@
+package fuzz
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// invariant is the number of an invariant in docs/design.md, section 2.2.
+type invariant int
+
+const (
+	atMostOnce invariant = iota + 1
+	tierOrder
+	badVersionShare
+	ownWholeAnswer
+	notRunIsTrue
+	claimedOnce
+	leavingTargets
+	gracefulShutdown
+	configInForce
+)
+
+var invariantNames = map[invariant]string{
+	atMostOnce:       "at most once",
+	tierOrder:        "tier order",
+	badVersionShare:  "bad version",
+	ownWholeAnswer:   "own whole answer",
+	notRunIsTrue:     "not-run did not run",
+	claimedOnce:      "non-idempotent once",
+	leavingTargets:   "leaving target",
+	gracefulShutdown: "graceful shutdown",
+	configInForce:    "configuration in force",
+}
+
+func (i invariant) String() string { return invariantNames[i] }
+
+// Times that the invariants permit.
+const (
+	leavingGrace = 3 * time.Second
+	configGrace  = 5 * time.Second
+	stopGrace    = 2 * time.Second
+	// floorGrace is the time between two requests for a floor and the timeout of one.
+	floorGrace = scheduler.FloorValidity/5 + floorTimeout
+)
+
+// violation is one breach of an invariant.
+type violation struct {
+	invariant invariant
+	text      string
+}
+
+// oracle watches a run from outside. It knows the invariants and nothing of
+// how the code keeps them.
+type oracle struct {
+	world      *world
+	violations []violation
+	served     int
+
+	runs      map[string]int
+	claimRuns map[string]int
+	outcomes  map[string]outcome
+	// modelRuns and newRuns count the runs of all versions and of the new one.
+	modelRuns, newRuns int
+
+	reach reachability
+	// leaving holds what is known of leaving targets, stop of the stopped version.
+	leaving map[string]*knowledge
+	stop    *knowledge
+
+	acceptedAt map[int64]time.Time
+	newest     int64
+	highest    map[*instance]forced
+	holders    map[*instance]bool
+}
+
+// forced is the generation in force at an instance.
+type forced struct {
+	incarnation uint64
+	generation  int64
+	since       time.Time
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{
+		world:      w,
+		runs:       make(map[string]int),
+		claimRuns:  make(map[string]int),
+		outcomes:   make(map[string]outcome),
+		reach:      newReachability(w),
+		leaving:    make(map[string]*knowledge),
+		acceptedAt: make(map[int64]time.Time),
+		highest:    make(map[*instance]forced),
+		holders:    make(map[*instance]bool),
+	}
+}
+
+func (o *oracle) violate(i invariant, format string, args ...any) {
+	v := violation{i, fmt.Sprintf(format, args...)}
+	o.world.logf("VIOLATION of invariant %d: %s", i, v.text)
+	o.violations = append(o.violations, v)
+}
+
+func (o *oracle) arrived(in *instance, r *request) {
+	o.world.logf("request %s of tier %d arrives at %s", r.id, r.tier, in.name)
+}
+
+// ran records that the first byte of a request reached a target.
+func (o *oracle) ran(t *fakeTarget, from *instance, r *request, version string) {
+	o.world.logf("request %s runs on %s %s", r.id, t.name, version)
+	if o.runs[r.id]++; o.runs[r.id] > 1 {
+		o.violate(atMostOnce, "request %s ran %d times", r.id, o.runs[r.id])
+	}
+	if o.outcomes[r.id] == outcomeNotRun {
+		o.violate(notRunIsTrue, "request %s ran after it was refused as not run", r.id)
+	}
+	if r.claimKey != "" {
+		if o.claimRuns[r.claimKey]++; o.claimRuns[r.claimKey] > 1 {
+			o.violate(claimedOnce, "calls with key %s ran %d times", r.claimKey, o.claimRuns[r.claimKey])
+		}
+	}
+	if k := o.leaving[t.name]; k != nil && k.mustKnow(from) {
+		o.violate(leavingTargets, "leaving target %s got request %s from %s", t.name, r.id, from.name)
+	}
+	o.ranVersion(from, r, version)
+}
+
+func (o *oracle) ranVersion(from *instance, r *request, version string) {
+	if r.key.pool != "models" {
+		return
+	}
+	o.modelRuns++
+	if version != badVersion {
+		return
+	}
+	o.newRuns++
+	if o.stop != nil && o.stop.mustKnow(from) {
+		o.violate(badVersionShare, "stopped version %s got request %s from %s", version, r.id, from.name)
+	}
+}
+
+// ended records what the caller of a request was told.
+func (o *oracle) ended(r *request, told outcome, body string) {
+	if before, ok := o.outcomes[r.id]; ok {
+		o.violate(ownWholeAnswer, "request %s ended twice, %s and %s", r.id, before, told)
+	}
+	o.outcomes[r.id] = told
+	switch {
+	case told == outcomeNotRun && o.runs[r.id] > 0:
+		o.violate(notRunIsTrue, "request %s ran but was refused as not run", r.id)
+	case told == outcomeServed && r.claimKey == "" && body != answerBody(r.id):
+		o.violate(ownWholeAnswer, "request %s got %q", r.id, body)
+	}
+	if told == outcomeServed {
+		o.served++
+	}
+}
+
+// decided checks the tier order of a group's decisions. A capacity refusal of a
+// tier is wrong while the group or a sibling that it reaches keeps or serves a
+// lower tier.
+func (o *oracle) decided(b *brokerRole, decisions []scheduler.Decision) {
+	for _, d := range decisions {
+		refusal, ok := d.(scheduler.Refuse)
+		if !ok || refusal.Reason != scheduler.ReasonQueueFull {
+			continue
+		}
+		shed := b.ranks[refusal.Ticket]
+		o.checkShed(b, b, shed)
+		for _, other := range o.world.instances {
+			for _, key := range other.ownedKeys() {
+				sibling := other.brokers[key]
+				if key.pool == b.key.pool && key.shard != b.key.shard && o.canHear(b.in, other) && b.in.owner(key) == other {
+					o.checkShed(b, sibling, shed)
+				}
+			}
+		}
+	}
+}
+
+// canHear reports whether two brokers have reached each other for long enough
+// that a floor has been asked for again since the last disturbance.
+func (o *oracle) canHear(a, b *instance) bool {
+	since, up := o.reach.peers[[2]*instance{a, b}]
+	return a == b || (up && time.Since(since) >= floorGrace)
+}
+
+func (o *oracle) checkShed(from, holder *brokerRole, shed scheduler.Rank) {
+	for _, rank := range holder.waiting {
+		if rank > shed {
+			o.violate(tierOrder, "group %v of %s sheds tier %d while group %v of %s keeps tier %d",
+				from.key, from.in.name, shed, holder.key, holder.in.name, rank)
+			return
+		}
+	}
+}
+
+// leavingKnown records that an instance has learned that a target leaves.
+func (o *oracle) leavingKnown(target string, in *instance) {
+	generation := in.snapshot.Generation()
+	if generation < o.newest && !o.world.operators.leaving[target] {
+		return // a later generation has the target staying
+	}
+	if o.leaving[target] == nil {
+		o.leaving[target] = newKnowledge(o, leavingGrace)
+	}
+	o.leaving[target].learned(in)
+}
+
+// stopKnown records that an instance has stopped the new version.
+func (o *oracle) stopKnown(in *instance) {
+	if o.stop == nil {
+		o.stop = newKnowledge(o, stopGrace)
+	}
+	o.stop.learned(in)
+}
+
+// draining does nothing yet but mark the trace; shutDown judges the end.
+func (o *oracle) draining(in *instance) {
+	o.world.logf("instance %s has %d requests", in.name, len(in.entry.requests))
+}
+
+// shutDown records the end of a graceful shutdown.
+func (o *oracle) shutDown(in *instance) {
+	for _, r := range in.entry.ordered() {
+		if r.state == stateDispatched {
+			o.violate(gracefulShutdown, "shutdown of %s cut request %s", in.name, r.id)
+		}
+	}
+}
+
+// leaseHeld checks that no two instances hold the lease at once.
+func (o *oracle) leaseHeld(in *instance) {
+	now := time.Now()
+	for _, other := range o.world.instances {
+		if other != in && in.lease != nil && other.alive && other.lease != nil &&
+			in.lease.Valid(now, 0) && other.lease.Valid(now, 0) {
+			o.violate(badVersionShare, "instances %s and %s hold the lease at once", in.name, other.name)
+		}
+	}
+}
+
+// audit makes the checks that time alone brings.
+func (o *oracle) audit() {
+	o.reach.observe()
+	for _, k := range o.leaving {
+		k.spread()
+	}
+	if o.stop != nil {
+		o.stop.spread()
+	}
+	o.auditConfig()
+}
+
+// finish makes the checks of the whole run.
+func (o *oracle) finish() {
+	n := float64(o.modelRuns)
+	share := moveShare / 100.0
+	// Four standard deviations above the mean, and a few for small numbers.
+	limit := share*n + 4*math.Sqrt(n*share*(1-share)) + 3
+	if float64(o.newRuns) > limit {
+		o.violate(badVersionShare, "the new version got %d of %d requests", o.newRuns, o.modelRuns)
+	}
+}
--- /dev/null
+++ b/test/fuzz/outcome_test.go
@@ -0,0 +1,150 @@
+package fuzz
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/basilloom/basilloom/claims"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// claimOutcomes maps the outcomes of a claim that forbid a dispatch.
+var claimOutcomes = map[claims.Outcome]outcome{
+	claims.Refused:    outcomeNotRun,
+	claims.InProgress: outcomeUnknown,
+	claims.Unknown:    outcomeUnknown,
+	claims.KeyReused:  outcomeUnknown,
+}
+
+// claimCall claims a non-idempotent call and reports whether it may run.
+func (e *entryRole) claimCall(r *request) bool {
+	begun, _ := e.in.claims.Begin(e.in.world.ctx, claims.Request{
+		Key:         claims.Key{Workspace: r.workspace, Route: r.route, Caller: r.claimKey},
+		Fingerprint: r.fingerprint,
+		Timeout:     responseTimeout,
+	})
+	e.in.world.logf("request %s claims %s: %v", r.id, r.claimKey, begun.Outcome)
+	if begun.Outcome == claims.Acquired {
+		r.claim = begun.Claim
+		return true
+	}
+	e.complete(r.key, e.id(r), scheduler.ResultNotDispatched)
+	if begun.Outcome == claims.Stored {
+		e.finish(r, outcomeServed, "stored", string(begun.Result.Body))
+		return false
+	}
+	e.finish(r, claimOutcomes[begun.Outcome], begun.Outcome.String(), "")
+	return false
+}
+
+// answered judges an answer: only a whole answer with the request's own id is delivered.
+func (e *entryRole) answered(r *request, a answer) {
+	d := e.in.world.defect
+	switch {
+	case a.broken && d.retriesAfterWrite():
+		e.retry(r)
+	case a.broken:
+		e.broken(r)
+	case a.failed:
+		e.fail(r, scheduler.ResultFailed, "target error")
+	case a.id != r.id && !d.deliversCrossed():
+		e.fail(r, scheduler.ResultFailed, "crossed answer")
+	case !a.whole:
+		e.fail(r, scheduler.ResultFailed, "truncated answer")
+	default:
+		e.serve(r, a)
+	}
+}
+
+func (e *entryRole) broken(r *request) {
+	result := scheduler.ResultTargetDied
+	if e.in.world.targetNamed(r.target).up {
+		result = scheduler.ResultFailed
+	}
+	e.fail(r, result, "connection broken")
+}
+
+func (e *entryRole) serve(r *request, a answer) {
+	e.completeRun(r, scheduler.ResultServed)
+	e.in.observeVersion(r, false)
+	if r.claim != nil {
+		// A failed write only leaves repeated calls without the answer.
+		_ = e.in.claims.Finish(e.in.world.ctx, r.claim, claims.Result{Status: 200, Body: []byte(a.body)})
+	}
+	e.finish(r, outcomeServed, "", a.body)
+}
+
+// fail ends a request that was dispatched and may have run.
+func (e *entryRole) fail(r *request, result scheduler.Result, reason string) {
+	e.completeRun(r, result)
+	e.in.observeVersion(r, result != scheduler.ResultCancelled)
+	if r.claim != nil {
+		_ = e.in.claims.MarkUnknown(e.in.world.ctx, r.claim) // the claim already forbids another run
+		e.finish(r, outcomeUnknown, reason, "")
+		return
+	}
+	if e.in.world.defect.labelsFailedNotRun() {
+		e.finish(r, outcomeNotRun, reason, "")
+		return
+	}
+	e.finish(r, outcomeFailed, reason, "")
+}
+
+func (e *entryRole) completeRun(r *request, result scheduler.Result) {
+	elapsed := time.Since(r.grantedAt)
+	e.tell(r, ticketMessage{complete: []scheduler.Completion{{
+		ID: e.id(r), Result: result, PromptTokens: r.prompt, OutputTokens: 100,
+		FirstToken: elapsed / 2, Total: elapsed,
+	}}})
+}
+
+// refused ends a waiting request that the broker refused.
+func (e *entryRole) refused(id scheduler.TicketID, reason scheduler.Reason) {
+	r := e.requests[id.Sequence]
+	if r != nil && r.state == stateWaiting {
+		e.giveUp(r, string(reason))
+	}
+}
+
+// giveUp ends a request of which no byte was written.
+func (e *entryRole) giveUp(r *request, reason string) {
+	if r.claim == nil {
+		e.finish(r, outcomeNotRun, reason, "")
+		return
+	}
+	if err := e.in.claims.Abandon(e.in.world.ctx, r.claim); err != nil {
+		e.finish(r, outcomeUnknown, fmt.Sprintf("%s, claim not abandoned", reason), "")
+		return
+	}
+	e.finish(r, outcomeNotRun, reason, "")
+}
+
+// cancelled stops a running request in favour of a higher tier.
+func (e *entryRole) cancelled(id scheduler.TicketID) {
+	r := e.requests[id.Sequence]
+	if r == nil || r.state != stateDispatched {
+		return
+	}
+	e.in.world.targetNamed(r.target).cancel(r)
+	e.fail(r, scheduler.ResultCancelled, "preempted")
+}
+
+func (e *entryRole) finish(r *request, o outcome, reason, body string) {
+	r.state = stateEnded
+	delete(e.requests, r.sequence)
+	e.in.world.logf("request %s ends: %s %s", r.id, o, reason)
+	e.in.world.oracle.ended(r, o, body)
+	if r.poison && o != outcomeNotRun {
+		e.in.world.repeatPoison(r)
+	}
+}
+
+// abandon drops all requests of an entry that ends; their callers see a broken
+// connection and learn nothing else.
+func (e *entryRole) abandon() {
+	for _, r := range e.ordered() {
+		r.state = stateEnded
+		e.in.world.logf("request %s loses its entry", r.id)
+	}
+	clear(e.requests)
+}
