broker: do not take an own pause for an unreachable sibling

Cause: a floor request that timed out marked its sibling unreachable, also when the broker itself was paused past the timeout. The group then shed a ticket while the sibling, in the same process or beside it, could serve a lower tier (invariant 2). Ruled out: a lost floor message, which the network of the test never applies to messages of an instance to itself. Before: TestOwnPauseDoesNotMakeSiblingUnreachable fails, 1 ticket is decided. After: none is, and TestUnreachableSiblingIsNotAwaited shows that a silent sibling is still left out. Conclusion: a failure that took more than 750 ms says nothing of the sibling.

--- /dev/null
+++ b/broker/floor_test.go
@@ -0,0 +1,70 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// shardedFleet has groups with a sibling and a queue for one ticket.
+type shardedFleet struct{ *fakeFleet }
+
+func (f shardedFleet) Group(key GroupKey) (GroupSettings, bool) {
+	settings, ok := f.fakeFleet.Group(key)
+	settings.Config.QueueLimit = 1
+	settings.Config.Siblings = []int{1}
+	return settings, ok
+}
+
+// fillQueue starts a manager with the hook and submits one ticket too many. It
+// returns the last ticket, which is the one to shed.
+func fillQueue(ctx context.Context, t *testing.T, ask func(context.Context) error) *Call {
+	t.Helper()
+	f := newFakeFleet(ctx, "a")
+	hooks := Hooks{AskFloor: func(ctx context.Context, _ GroupKey, _ int, _ scheduler.Rank, _ time.Duration) error {
+		return ask(ctx)
+	}}
+	f.managers["a"] = NewManager(ctx, "a", f, shardedFleet{f}, f, hooks, zap.NewNop())
+	c := newTestClient(ctx, f)
+	running := submit(c, time.Minute)
+	_, err := running.Wait(ctx)
+	require.NoError(t, err)
+	running.Dispatched()
+	submit(c, time.Minute)
+	return submit(c, time.Minute)
+}
+
+// Guards against a broker that takes a sibling for unreachable because it was
+// paused itself while it waited for the answer, and then sheds a ticket while
+// the sibling serves a lower tier.
+func TestOwnPauseDoesNotMakeSiblingUnreachable(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		last := fillQueue(ctx, t, func(context.Context) error {
+			select {
+			case <-time.After(4 * floorTimeout): // the process is paused past the timeout
+			case <-ctx.Done():
+			}
+			return context.DeadlineExceeded
+		})
+		time.Sleep(6 * floorTimeout)
+		require.Empty(t, last.decided)
+	})
+}
+
+// Guards against a full queue that waits for a sibling that cannot be reached.
+func TestUnreachableSiblingIsNotAwaited(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		last := fillQueue(ctx, t, func(ctx context.Context) error {
+			<-ctx.Done()
+			return errors.New("no answer")
+		})
+		time.Sleep(2 * floorTimeout)
+		require.Len(t, last.decided, 1)
+	})
+}
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -19,6 +19,9 @@
 	maxBatch = 128
 	// floorTimeout bounds the wait for a sibling's acknowledgement.
 	floorTimeout = 500 * time.Millisecond
+	// floorPause is the time beyond floorTimeout after which a failed request
+	// tells of a pause of this process and nothing of the sibling.
+	floorPause = 250 * time.Millisecond
 )
 
 // event is handled by the runner's goroutine and returns decisions.
@@ -88,6 +91,9 @@
 	defer cancel()
 	sibling := GroupKey{Pool: r.key.Pool, Shard: shard}
 	err := r.hooks.AskFloor(call, sibling, r.key.Shard, request.Highest, request.ValidFor)
+	if err != nil && time.Since(asked) > floorTimeout+floorPause {
+		return // the group repeats the request
+	}
 	_ = r.post(ctx, func(now time.Time) []scheduler.Decision {
 		if err != nil {
 			return r.group.SetSiblingReachable(now, shard, false)
--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -15,6 +15,7 @@
 const (
 	reportPeriod = 500 * time.Millisecond
 	floorTimeout = 500 * time.Millisecond
+	floorPause   = 250 * time.Millisecond
 )
 
 // group is the part of scheduler.Group that a broker uses; broken builds wrap it.
@@ -275,6 +276,9 @@
 		}
 		answered = true
 		now := time.Now()
+		if !acked && now.Sub(asked) > floorTimeout+floorPause {
+			return
+		}
 		if !acked {
 			b.act(b.group.SetSiblingReachable(now, sibling.shard, false))
 			return
