broker: give lost grants again when an entry replaces its stream

Cause: a session that replaced an earlier one of the same entry kept the group's records. A grant lost with the earlier stream stayed on record, the repeated submission was ignored, and after the grant's validity the group no longer knew the ticket. The entry waited until the deadline and refused. Found by test/fuzz: the broker's tickets and the entry's waiting requests differed after a stream broke. Ruled out: the scheduler, whose Submit ignores known tickets by design (group state machine test). Before: TestGrantLostWithStreamIsGivenAgain gets 0 grants on the second session. After: it gets 1. Conclusion: the first message of a session repeats all tickets, so join drops what the earlier session left, as leave does.

--- a/broker/runner.go
+++ b/broker/runner.go
@@ -168,11 +168,15 @@
 	}
 }
 
+// join takes over an entry's new session. Its first message repeats all tickets
+// of the entry, so what an earlier session left is dropped: the entry may have
+// missed its grants.
 func (r *runner) join(s *Session) event {
-	return func(time.Time) []scheduler.Decision {
+	return func(now time.Time) []scheduler.Decision {
 		key := s.entry()
 		if old, ok := r.sessions[key]; ok {
 			old.close()
+			r.group.EntryGone(now, key.instance, key.incarnation)
 		}
 		r.sessions[key] = s
 		return nil
