--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -157,20 +157,24 @@
 	key := entryKey{s.entry.name, s.entryInc}
 	if old, ok := b.sessions[key]; ok {
 		b.in.world.network.breakStream(old)
+		b.entryGone(key)
 	}
 	b.sessions[key] = s
 	s.onBrokerLost = func() {
-		if b.sessions[key] != s {
-			return
+		if b.sessions[key] == s {
+			delete(b.sessions, key)
+			b.entryGone(key)
 		}
-		delete(b.sessions, key)
-		for id := range b.waiting {
-			if id.Instance == key.name && id.Incarnation == key.incarnation {
-				delete(b.waiting, id)
-			}
+	}
+}
+
+func (b *brokerRole) entryGone(key entryKey) {
+	for id := range b.waiting {
+		if id.Instance == key.name && id.Incarnation == key.incarnation {
+			delete(b.waiting, id)
 		}
-		b.group.EntryGone(time.Now(), key.name, key.incarnation)
 	}
+	b.group.EntryGone(time.Now(), key.name, key.incarnation)
 }
 
 // runningTicket is a granted ticket that an entry names to a new broker.
@@ -276,6 +280,7 @@
 		}
 		answered = true
 		now := time.Now()
+		w.logf("floor above tier %d asked by %v of %v: acknowledged %t", request.Highest, b.key, sibling, acked)
 		if !acked && now.Sub(asked) > floorTimeout+floorPause {
 			return
 		}
