--- /dev/null
+++ b/test/golden/objects_test.go
@@ -0,0 +1,29 @@
+package golden
+
+import (
+	"context"
+
+	"github.com/basilloom/basilloom/platform"
+)
+
+// objects keeps content in the session's table, so that it shares its outages.
+type objects struct{ s *session }
+
+func newObjects(s *session) platform.ObjectStore { return objects{s} }
+
+func objectKey(name string) platform.Key { return platform.Key{Partition: "objects", Sort: name} }
+
+// Get implements platform.ObjectStore.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	row, err := o.s.table.Get(ctx, objectKey(name))
+	return row.Value, err
+}
+
+// Put implements platform.ObjectStore. Content that is there already stays.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	if _, err := o.s.table.Get(ctx, objectKey(name)); err == nil {
+		return nil
+	}
+	_, err := o.s.table.Put(ctx, objectKey(name), data, 0)
+	return err
+}
