broker: start an owned group when a sibling asks it for a floor

Cause: the owner of a group that no entry had joined yet refused a floor, the asking group took it for unreachable for up to a second and shed, and the new group accepted lower tiers meanwhile (invariant 2). Found by test/fuzz (a drained instance returns and takes both shards 0.2 s apart during a burst). Ruled out: the reset of acknowledgements on a change of owner; no floor was acknowledged here before the shed. Conclusion: only an instance that does not own the group refuses a floor.

--- a/broker/floor_test.go
+++ b/broker/floor_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/scheduler"
 )
 
@@ -68,3 +69,23 @@
 		require.Len(t, last.decided, 1)
 	})
 }
+
+// Guards against a group that its owner starts just after it has answered a
+// sibling that it does not run it: the sibling would then shed while the new
+// group accepts lower tiers.
+func TestFloorStartsOwnedGroup(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a", "b")
+		require.NoError(t, f.managers["a"].AcceptFloor(ctx, testKey, 1, 0, time.Second))
+		c := newTestClient(ctx, f)
+		lower := c.Submit(testKey, &pb.Ticket{Workspace: "w", Tier: 1}, time.Now().Add(time.Minute))
+		_, err := lower.Wait(ctx)
+		var refused *RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, scheduler.ReasonShutOut, refused.Reason)
+
+		var notOwner *NotOwnerError
+		require.ErrorAs(t, f.managers["b"].AcceptFloor(ctx, testKey, 1, 0, time.Second), &notOwner)
+		require.Equal(t, "a", notOwner.Owner)
+	})
+}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -153,16 +153,19 @@
 }
 
 // AcceptFloor shuts out the tiers above highest in a group on behalf of a
-// sibling. It returns a *NotOwnerError if this instance does not run the group.
+// sibling. It starts the group if this instance owns it, so that the floor holds
+// for the group's first ticket. It returns a *NotOwnerError otherwise.
 func (m *Manager) AcceptFloor(ctx context.Context, key GroupKey, from int, highest scheduler.Rank, valid time.Duration) error {
-	m.mu.Lock()
-	r, ok := m.runners[key]
-	m.mu.Unlock()
-	if !ok {
-		return &NotOwnerError{Key: key}
+	owner, ok := m.resolver.Owner(key)
+	if !ok || owner.Name != m.self {
+		return &NotOwnerError{Key: key, Owner: owner.Name}
+	}
+	r, err := m.runner(key)
+	if err != nil {
+		return err
 	}
 	done := make(chan struct{})
-	err := r.post(ctx, func(now time.Time) []scheduler.Decision {
+	err = r.post(ctx, func(now time.Time) []scheduler.Decision {
 		defer close(done)
 		return r.group.AcceptFloor(now, from, highest, valid)
 	})
--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -293,7 +293,8 @@
 		b.act(append(decisions, b.group.FloorAcked(now, sibling.shard, request.Highest, valid)...))
 	}
 	w.network.send(b.in, owner, func() {
-		target, ok := owner.brokers[sibling]
+		target := owner.broker(sibling)
+		ok := target != nil
 		if ok {
 			target.act(target.group.AcceptFloor(time.Now(), b.key.shard, request.Highest, request.ValidFor))
 		}
