broker, scheduler: a new owner of a sibling group must acknowledge floors

Cause: a group counted a sibling's acknowledgement for up to 5 s after the sibling's owner had changed. The successor knows no floor and accepts lower tiers, so the group could shed a higher one (invariant 2). The documented way, SetSiblingReachable with false and then true, was called by nobody and would have shed itself on its first call, which leaves the sibling out. Before: TestNewSiblingOwnerMustAcknowledge sees a refusal without a new acknowledgement. After: none within half of the timeout. An answer of a former owner that is still on its way does not count either. Conclusion: Refresh compares the owners; SiblingReplaced drops the acknowledgement and has the successor asked at once.

--- a/broker/floor_test.go
+++ b/broker/floor_test.go
@@ -89,3 +89,49 @@
 		require.Equal(t, "a", notOwner.Owner)
 	})
 }
+
+// Guards against a group that counts the acknowledgement of a sibling's former
+// owner: the successor does not know the floor and accepts lower tiers.
+func TestNewSiblingOwnerMustAcknowledge(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := &movingFleet{fakeFleet: newFakeFleet(ctx, "a"), sibling: "b"}
+		answers := true
+		hooks := Hooks{AskFloor: func(ctx context.Context, _ GroupKey, _ int, _ scheduler.Rank, _ time.Duration) error {
+			if answers {
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		f.managers["a"] = NewManager(ctx, "a", f, shardedFleet{f.fakeFleet}, f, hooks, zap.NewNop())
+		c := newTestClient(ctx, f.fakeFleet)
+		running := submit(c, time.Minute)
+		_, err := running.Wait(ctx)
+		require.NoError(t, err)
+		running.Dispatched()
+		submit(c, time.Minute)
+		shed := submit(c, time.Minute)
+		_, err = shed.Wait(ctx)
+		require.Error(t, err, "shed after the acknowledgement")
+
+		answers = false
+		f.sibling = "c"
+		f.managers["a"].Refresh()
+		last := submit(c, time.Minute)
+		time.Sleep(floorTimeout / 2)
+		require.Empty(t, last.decided)
+	})
+}
+
+// movingFleet has another owner for the sibling.
+type movingFleet struct {
+	*fakeFleet
+	sibling string
+}
+
+func (f *movingFleet) Owner(key GroupKey) (Peer, bool) {
+	if key.Shard == 1 {
+		return Peer{Name: f.sibling}, true
+	}
+	return f.fakeFleet.Owner(key)
+}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -123,7 +123,7 @@
 		cancel:   cancel,
 	}
 	m.runners[key] = r
-	r.events <- r.setTargets(settings.Targets)
+	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
 	m.wg.Go(func() { r.run(ctx) })
 	m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
 	r.log.Info("broker duty taken")
@@ -146,12 +146,22 @@
 		}
 		// A runner whose queue is full gets its targets at the next refresh.
 		select {
-		case r.events <- r.setTargets(settings.Targets):
+		case r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings)):
 		default:
 		}
 	}
 }
 
+// siblingOwners names the owner of each sibling group.
+func (m *Manager) siblingOwners(key GroupKey, settings GroupSettings) map[int]string {
+	owners := make(map[int]string, len(settings.Config.Siblings))
+	for _, shard := range settings.Config.Siblings {
+		owner, _ := m.resolver.Owner(GroupKey{Pool: key.Pool, Shard: shard})
+		owners[shard] = owner.Name
+	}
+	return owners
+}
+
 // AcceptFloor shuts out the tiers above highest in a group on behalf of a
 // sibling. It starts the group if this instance owns it, so that the floor holds
 // for the group's first ticket. It returns a *NotOwnerError otherwise.
--- a/broker/poll.go
+++ b/broker/poll.go
@@ -132,10 +132,11 @@
 	s.last[target] = sequence
 }
 
-// setTargets takes over the configured targets.
-func (r *runner) setTargets(targets []scheduler.Target) event {
+// refresh takes over the configured targets and the owners of the siblings.
+func (r *runner) refresh(targets []scheduler.Target, owners map[int]string) event {
 	return func(now time.Time) []scheduler.Decision {
 		r.targets = targets
+		r.followSiblings(now, owners)
 		return r.group.SetTargets(now, r.withVersions())
 	}
 }
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -37,8 +37,10 @@
 	// targets are the configured ones; versions holds what they have loaded.
 	targets  []scheduler.Target
 	versions map[string][]string
-	weight   func(workspace string) float64
-	hooks    Hooks
+	// siblingOwners names the instances that acknowledge floors.
+	siblingOwners map[int]string
+	weight        func(workspace string) float64
+	hooks         Hooks
 	// died is set by a completion that may have changed the quarantine.
 	died   bool
 	log    *zap.Logger
@@ -80,12 +82,14 @@
 			continue
 		}
 		for _, shard := range request.Siblings {
-			go r.askFloor(ctx, shard, request)
+			go r.askFloor(ctx, shard, r.siblingOwners[shard], request)
 		}
 	}
 }
 
-func (r *runner) askFloor(ctx context.Context, shard int, request scheduler.FloorRequest) {
+// askFloor asks one sibling. The answer of an owner that has changed meanwhile
+// does not count.
+func (r *runner) askFloor(ctx context.Context, shard int, owner string, request scheduler.FloorRequest) {
 	asked := time.Now()
 	call, cancel := context.WithTimeout(ctx, floorTimeout)
 	defer cancel()
@@ -95,6 +99,9 @@
 		return // the group repeats the request
 	}
 	_ = r.post(ctx, func(now time.Time) []scheduler.Decision {
+		if r.siblingOwners[shard] != owner {
+			return nil
+		}
 		if err != nil {
 			return r.group.SetSiblingReachable(now, shard, false)
 		}
@@ -104,6 +111,17 @@
 	})
 }
 
+// followSiblings drops the acknowledgements of former owners of sibling groups,
+// whose successors do not know of them.
+func (r *runner) followSiblings(now time.Time, owners map[int]string) {
+	for shard, owner := range owners {
+		if before, ok := r.siblingOwners[shard]; ok && before != owner {
+			r.group.SiblingReplaced(now, shard)
+		}
+	}
+	r.siblingOwners = owners
+}
+
 func (r *runner) tellQuarantine() {
 	if !r.died || r.hooks.Quarantined == nil {
 		return
--- a/scheduler/floor.go
+++ b/scheduler/floor.go
@@ -190,15 +190,24 @@
 }
 
 // SetSiblingReachable records whether the broker can reach a sibling. No
-// acknowledgement is awaited from an unreachable one. When the sibling's broker
-// changes, call it with false and then true: the successor does not know the
-// floors that its predecessor accepted.
+// acknowledgement is awaited from an unreachable one.
 func (g *Group) SetSiblingReachable(now time.Time, shard int, reachable bool) []Decision {
 	g.now = now
 	g.floor.setReachable(shard, reachable)
 	return g.decide(now)
 }
 
+// SiblingReplaced drops the acknowledgement of a sibling whose broker has
+// changed: the successor does not know the floors that its predecessor accepted.
+// It is asked as soon as the floor is next needed.
+func (g *Group) SiblingReplaced(now time.Time, shard int) {
+	g.now = now
+	if s, ok := g.floor.siblings[shard]; ok {
+		*s = sibling{}
+		g.floor.asked = time.Time{}
+	}
+}
+
 // SetSiblings replaces the sibling shards.
 func (g *Group) SetSiblings(now time.Time, shards []int) []Decision {
 	g.now = now
--- a/scheduler/floor_test.go
+++ b/scheduler/floor_test.go
@@ -67,6 +67,16 @@
 	require.Equal(t, g.cfg.QueueLimit, g.queue.len())
 }
 
+// Guards against a refusal on the acknowledgement of a broker that is gone.
+func TestReplacedSiblingIsAskedAgain(t *testing.T) {
+	g := floorGroup(0, 1)
+	g.Submit(t0, testTicket(3, onTier(2)))
+	g.FloorAcked(t0, 1, 2, time.Second)
+	g.SiblingReplaced(t0, 1)
+	got := g.Submit(t0, testTicket(4, onTier(2)))
+	require.Equal(t, []Decision{FloorRequest{Highest: 2, ValidFor: FloorValidity, Siblings: []int{1}}}, got)
+}
+
 // Guards against a floor that lapses during the overload or outlives it.
 func TestFloorIsRenewed(t *testing.T) {
 	g := floorGroup(0, 1)
--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -33,6 +33,7 @@
 	AcceptFloor(now time.Time, shard int, highest scheduler.Rank, valid time.Duration) []scheduler.Decision
 	FloorAcked(now time.Time, shard int, highest scheduler.Rank, valid time.Duration) []scheduler.Decision
 	SetSiblingReachable(now time.Time, shard int, reachable bool) []scheduler.Decision
+	SiblingReplaced(now time.Time, shard int)
 	Tick(now time.Time) []scheduler.Decision
 }
 
@@ -53,6 +54,8 @@
 	// ranks holds the rank of each ticket that was ever submitted here.
 	ranks    map[scheduler.TicketID]scheduler.Rank
 	reported time.Time
+	// siblingOwners holds the owners of the sibling groups.
+	siblingOwners map[int]*instance
 }
 
 // owner returns the instance that owns the group in this instance's view.
@@ -87,9 +90,10 @@
 	b := &brokerRole{
 		in: in, key: key, group: in.world.defect.wrapGroup(real),
 		sessions: make(map[entryKey]*stream), waiting: make(map[scheduler.TicketID]scheduler.Rank),
-		ranks: make(map[scheduler.TicketID]scheduler.Rank),
+		ranks: make(map[scheduler.TicketID]scheduler.Rank), siblingOwners: make(map[int]*instance),
 	}
 	in.brokers[key] = b
+	b.followSiblings(time.Now())
 	b.refreshTargets(time.Now())
 	in.giveQuarantine()
 	return b
@@ -132,7 +136,19 @@
 	b.act(b.group.SetTargets(now, groupTargets(b.in.snapshot, b.key, leaving)))
 }
 
+// followSiblings drops the acknowledgements of former owners of sibling groups.
+func (b *brokerRole) followSiblings(now time.Time) {
+	for _, shard := range groupConfig(b.in.snapshot, b.key).Siblings {
+		owner := b.in.owner(groupKey{b.key.pool, shard})
+		if before := b.siblingOwners[shard]; before != nil && before != owner {
+			b.group.SiblingReplaced(now, shard)
+		}
+		b.siblingOwners[shard] = owner
+	}
+}
+
 func (b *brokerRole) tick(now time.Time) {
+	b.followSiblings(now)
 	if now.Sub(b.reported) >= reportPeriod {
 		b.reported = now
 		for _, t := range b.in.world.targets {
@@ -275,7 +291,7 @@
 	owner := b.in.owner(sibling)
 	answered := false
 	finish := func(acked bool) {
-		if answered || b.in.brokers[b.key] != b {
+		if answered || b.in.brokers[b.key] != b || b.siblingOwners[sibling.shard] != owner {
 			return
 		}
 		answered = true
