--- a/test/fuzz/world_test.go
+++ b/test/fuzz/world_test.go
@@ -113,7 +113,9 @@
 	w.operators = operators{world: w, leaving: make(map[string]bool)}
 	w.operators.apply("genesis", 0)
 	for i := range instancesPerRegion * len(regions) {
-		in := newInstance(w, fmt.Sprintf("i%d", i+1), regions[i%len(regions)])
+		// Names decide the owners of groups, so plans differ in who owns what.
+		name := fmt.Sprintf("%c%d", 'a'+rune(p.Seed%8), i+1)
+		in := newInstance(w, name, regions[i%len(regions)])
 		w.instances = append(w.instances, in)
 	}
 	for _, in := range w.instances {
