broker, entry: grants that wait for a slow claim

Cause, found by the whole of test/e2e under load (TestClaimsUnderStoreFaults, one run of two: a call refused with no_target 5 s after the table came back): while a claim is written, up to 4 s with the table down, the grant is not in use. When the owner of the group changed meanwhile, the link told the new broker of a running request. The broker took it for one that hangs and ejected the target, and a non-idempotent call is no probe for the first 10 s.

A link tells a new broker of a grant only once it is used. The entry checks the grant again after the claim: it may have expired, or the target may have left, in the time of the write. Ruled out: shorter claims, which would refuse calls that a slow table still records.

The second check of the grant has no test of its own.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -153,6 +153,34 @@
 	})
 }
 
+// Guards against a grant whose use is delayed, as by a slow claim, that a
+// successor takes for a request that hangs on the target, and against a slot that
+// the successor does not know of once the grant is used.
+func TestSuccessorIsToldOfUseOnly(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a", "b")
+		c := newTestClient(ctx, f)
+		first := submit(c, time.Minute)
+		_, err := first.Wait(ctx)
+		require.NoError(t, err)
+		f.setOwner("b")
+		second := submit(c, time.Minute)
+		time.Sleep(20 * time.Second)
+		_, err = second.Wait(ctx)
+		require.NoError(t, err)
+		require.Equal(t, "good", f.managers["b"].Snapshot(ctx)[0].Health.String())
+		second.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
+
+		first.Dispatched()
+		third := submit(c, time.Minute)
+		time.Sleep(time.Second)
+		require.Empty(t, third.decided, "the slot is taken")
+		first.Complete(&pb.Completion{Result: pb.Result_RESULT_SERVED})
+		_, err = third.Wait(ctx)
+		require.NoError(t, err)
+	})
+}
+
 // Guards against tickets that wait for a paused owner without its being
 // reported, and against a report of an owner that runs but has nothing to grant.
 func TestSilentOwnerIsReported(t *testing.T) {
--- a/broker/client.go
+++ b/broker/client.go
@@ -90,6 +90,9 @@
 	state     callState
 	target    string
 	grantedAt time.Time
+	// grantedOn is the stream of the grant; sent is set by the dispatch.
+	grantedOn Stream
+	sent      bool
 }
 
 type callState int
--- a/broker/link.go
+++ b/broker/link.go
@@ -147,21 +147,20 @@
 }
 
 // resend collects the waiting tickets and the running grants, in the order in
-// which they came.
+// which they came. A grant that is not used yet, for example because a claim is
+// being written, is left out: the new broker would take it for a request that
+// hangs on the target. It is told with the dispatch.
 func (l *link) resend() *pb.TicketsRequest {
 	request := &pb.TicketsRequest{}
 	now := time.Now()
 	for _, id := range slices.Sorted(maps.Keys(l.calls)) {
 		call := l.calls[id]
-		if call.state == callGranted {
-			request.Running = append(request.Running, &pb.Running{
-				Ticket: call.message(now),
-				Target: call.target,
-				AgeMs:  now.Sub(call.grantedAt).Milliseconds(),
-			})
-			continue
+		switch {
+		case call.state == callWaiting:
+			request.Submit = append(request.Submit, call.message(now))
+		case call.sent:
+			request.Running = append(request.Running, call.running(now))
 		}
-		request.Submit = append(request.Submit, call.message(now))
 	}
 	return request
 }
@@ -222,7 +221,7 @@
 		return
 	}
 	now := time.Now()
-	call.state, call.target, call.grantedAt = callGranted, m.GetTarget(), now
+	call.state, call.target, call.grantedAt, call.grantedOn = callGranted, m.GetTarget(), now, l.stream
 	call.decided <- decision{grant: Grant{
 		Target:  m.GetTarget(),
 		Expires: now.Add(time.Duration(m.GetValidMs()) * time.Millisecond),
@@ -261,8 +260,27 @@
 }
 
 func (l *link) dispatched(call *Call) {
-	if call.state == callGranted && l.stream != nil {
+	if call.state != callGranted {
+		return
+	}
+	call.sent = true
+	switch l.stream {
+	case nil:
+	case call.grantedOn:
 		l.out.Dispatched = append(l.out.Dispatched, call.ticket.GetId())
+	default:
+		now := time.Now()
+		call.grantedAt = now
+		l.out.Running = append(l.out.Running, call.running(now))
+	}
+}
+
+// running is what a broker that did not grant the call is told of it.
+func (call *Call) running(now time.Time) *pb.Running {
+	return &pb.Running{
+		Ticket: call.message(now),
+		Target: call.target,
+		AgeMs:  now.Sub(call.grantedAt).Milliseconds(),
 	}
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -57,6 +57,7 @@
 type run struct {
 	req        *request
 	call       *broker.Call
+	grant      broker.Grant
 	target     engine.Target
 	started    time.Time
 	firstToken time.Duration
@@ -86,7 +87,7 @@
 		return nil, nil
 	}
 	span.SetAttributes(attribute.String("basilloom.target", target.Name))
-	return &run{req: req, call: call, target: target}, nil
+	return &run{req: req, call: call, grant: grant, target: target}, nil
 }
 
 // usable checks a grant against what this instance knows now: the grant may
@@ -110,6 +111,11 @@
 		r.call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
 		return ending, false
 	}
+	// Writing a claim may take longer than the grant is valid.
+	if _, ok := e.usable(r.req, r.grant); !ok {
+		r.call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
+		return nil, true
+	}
 	if r.req.route.GetNonIdempotent() {
 		// The answer is stored for a repeated call even if this caller goes away.
 		ctx = context.WithoutCancel(ctx)
