broker: test uses the group status

Cause: a merged test called a method that had been replaced by Status. Ruled out: nothing. Conclusion: the check is the same.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -169,7 +169,7 @@
 		time.Sleep(20 * time.Second)
 		_, err = second.Wait(ctx)
 		require.NoError(t, err)
-		require.Equal(t, "good", f.managers["b"].Snapshot(ctx)[0].Health.String())
+		require.Equal(t, "good", f.managers["b"].Status(ctx)[0].Targets[0].Health.String())
 		second.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
 
 		first.Dispatched()
