load: the slowed engine excuses only the calls it slowed

Cause: a top-tier call that ran on the engine before it turned slow and missed an objective counted as caught by the slowdown, also if it had ended before, and one that met them counted as elsewhere, which flattered the figures without the slowed engine. Calls count by whether they still ran at that moment.

--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -37,7 +37,8 @@
 type Result struct {
 	load.Report
 	Factor float64 `json:"factor"`
-	// Top is the top tier without the calls that the slowed engine ran.
+	// Top is the top tier without the calls that the slowed engine ran when it
+	// was slow.
 	Top load.TierReport `json:"top_without_slowed_engine"`
 	// TopOnSlowed counts the top-tier calls that began on the slowed engine
 	// after it turned slow, TopCaught those that ran on it at that moment.
@@ -79,7 +80,7 @@
 	result := Result{Report: load.Summarize(s.Mix, results), Factor: s.Factor}
 	result.Policy, result.Seed, result.Rate, result.Seconds = s.Policy, s.Seed, s.Factor*s.Capacity, s.Duration.Seconds()
 	result.Prefill = load.NewPrefill(results, after.Sub(before))
-	result.judgeSlowed(s.Mix, results, slowed.Runs(), <-ranBefore)
+	result.judgeSlowed(s.Mix, results, slowed.Runs(), <-ranBefore, s.Duration/2)
 	if s.Policy == Basilloom {
 		inversions := decisions.inversions()
 		result.Inversions = &inversions
@@ -103,8 +104,9 @@
 	return err
 }
 
-// judgeSlowed sets the top tier's figures without the slowed engine.
-func (r *Result) judgeSlowed(mix load.Mix, results []load.Result, ran, before map[string]int) {
+// judgeSlowed sets the top tier's figures without the calls that ran on the
+// slowed engine once it was slow.
+func (r *Result) judgeSlowed(mix load.Mix, results []load.Result, ran, before map[string]int, slowedAt time.Duration) {
 	var elsewhere []load.Result
 	top := mix.Tiers()[0].Rank
 	for _, one := range results {
@@ -114,7 +116,7 @@
 			elsewhere = append(elsewhere, one)
 		case before[one.RequestID] == 0:
 			r.TopOnSlowed++
-		case one.Good():
+		case one.End() <= slowedAt:
 			elsewhere = append(elsewhere, one)
 		default:
 			r.TopCaught++
--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// Guards against a fault of the scheduler that is excused by the slowed engine:
+// only calls that were still running when it turned slow, or came later, are.
+func TestSlowedEngineExcusesItsCallsOnly(t *testing.T) {
+	mix, err := load.MixByName("plumage-box")
+	require.NoError(t, err)
+	call := func(id string, at time.Duration) load.Result {
+		return load.Result{Call: &load.Call{At: at, Class: &mix.Classes[0]}, RequestID: id, Whole: true, FirstToken: 3 * time.Second}
+	}
+	results := []load.Result{call("elsewhere", 0), call("done", time.Second), call("caught", 8*time.Second), call("sent", 11*time.Second)}
+	before := map[string]int{"done": 1, "caught": 1}
+	var r Result
+	r.judgeSlowed(mix, results, map[string]int{"done": 1, "caught": 1, "sent": 1}, before, 10*time.Second)
+	require.Equal(t, 2, r.Top.Offered)
+	require.Equal(t, 1, r.TopCaught)
+	require.Equal(t, 1, r.TopOnSlowed)
+}
+
 // Guards against an experiment that does not start, loses decisions or calls,
 // or takes a wrong answer for a right one.
 func TestRunServesTheMix(t *testing.T) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -39,6 +39,15 @@
 	return sum / time.Duration(len(r.Gaps))
 }
 
+// End is the time of the last token after the start of the run.
+func (r *Result) End() time.Duration {
+	end := r.Call.At + r.FirstToken
+	for _, gap := range r.Gaps {
+		end += gap
+	}
+	return end
+}
+
 // Good tells that the call counts as goodput of its tier.
 func (r *Result) Good() bool {
 	tier := &r.Call.Class.Tier
