membership, broker, daemon: plainer names

ReportFailure, failureReport and reported replace Doubt, doubt and said, which are no terms of the field. No change of behaviour.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -189,7 +189,7 @@
 		reported := make(chan string, 16)
 		c := NewClient(ctx, ClientSettings{
 			Self: "entry", Incarnation: 1, Resolver: f, Opener: f, Log: zap.NewNop(),
-			Doubt: func(instance string) { reported <- instance },
+			ReportFailure: func(instance string) { reported <- instance },
 		})
 		first, _ := submit(c, time.Minute), submit(c, time.Minute)
 		_, err := first.Wait(ctx)
--- a/broker/client.go
+++ b/broker/client.go
@@ -47,9 +47,9 @@
 	Opener      Opener
 	// Local serves the groups that this instance owns without a connection.
 	Local *Manager
-	// Doubt is told of an owner that broke a stream or does not answer; may be nil.
-	Doubt func(instance string)
-	Log   *zap.Logger
+	// ReportFailure is told of an owner that broke a stream or does not answer; may be nil.
+	ReportFailure func(instance string)
+	Log           *zap.Logger
 }
 
 // Client submits the tickets of one entry.
--- a/broker/link.go
+++ b/broker/link.go
@@ -184,7 +184,7 @@
 	if r.err != nil && !errors.Is(r.err, io.EOF) && connect.CodeOf(r.err) != connect.CodeCanceled {
 		// Also of a stream that was given up because a send failed, whose
 		// error does not tell why.
-		l.doubt(r.owner)
+		l.reportFailure(r.owner)
 	}
 	if r.stream != l.stream {
 		return // from a stream that was given up
@@ -335,7 +335,7 @@
 	case l.asked.IsZero() && now.Sub(l.heard) >= maxSilence:
 		l.ping, l.asked = true, now
 	case !l.asked.IsZero() && now.Sub(l.asked) >= answerTimeout:
-		l.doubt(l.peer.Name)
+		l.reportFailure(l.peer.Name)
 		l.ping, l.asked = true, now
 	}
 }
@@ -349,9 +349,9 @@
 	return false
 }
 
-func (l *link) doubt(instance string) {
-	if doubt := l.client.settings.Doubt; doubt != nil && instance != l.client.settings.Self {
-		doubt(instance)
+func (l *link) reportFailure(instance string) {
+	if report := l.client.settings.ReportFailure; report != nil && instance != l.client.settings.Self {
+		report(instance)
 	}
 }
 
--- a/broker/poll.go
+++ b/broker/poll.go
@@ -17,7 +17,7 @@
 	loadPeriod  = 500 * time.Millisecond
 	cacheRounds = 2 // cache events are asked for in every second round
 	// versionRounds: a version that has been loaded is used within 1 s, and a
-	// target that says that it is leaving gets no work after about 1 s.
+	// target that reports that it is leaving gets no work after about 1 s.
 	versionRounds = 2
 	maxPolls      = 16
 	// pollTimeout bounds the reports of one target in one round.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,14 +184,14 @@
 	}
 	d.brokers = broker.NewManager(d.work, d.self.Name, d.groups, d.groups, d.groups, hooks, d.log)
 	d.tickets = broker.NewClient(d.work, broker.ClientSettings{
-		Self:        d.self.Name,
-		Incarnation: d.self.Incarnation,
-		Region:      d.self.Region,
-		Resolver:    d.groups,
-		Opener:      ticketOpener{pool: d.peers},
-		Local:       d.brokers,
-		Doubt:       d.members.Doubt,
-		Log:         d.log,
+		Self:          d.self.Name,
+		Incarnation:   d.self.Incarnation,
+		Region:        d.self.Region,
+		Resolver:      d.groups,
+		Opener:        ticketOpener{pool: d.peers},
+		Local:         d.brokers,
+		ReportFailure: d.members.ReportFailure,
+		Log:           d.log,
 	})
 }
 
@@ -337,7 +337,7 @@
 }
 
 // tellLeaving spreads the leaving targets of a new configuration, and of those
-// that said so before it, as facts. They reach peers that cannot fetch the
+// that reported so before it, as facts. They reach peers that cannot fetch the
 // configuration yet.
 func (d *Daemon) tellLeaving(snapshot *config.Snapshot) {
 	for _, t := range snapshot.Config().GetTargets() {
@@ -345,7 +345,7 @@
 			d.members.AddLeaving(membership.Leaving{Target: t.GetName(), Generation: snapshot.Generation()})
 		}
 	}
-	for _, target := range d.leaving.saidTargets() {
+	for _, target := range d.leaving.reportedTargets() {
 		if snapshot.Target(target) != nil {
 			d.members.AddLeaving(membership.Leaving{Target: target, Generation: snapshot.Generation()})
 		}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -162,7 +162,7 @@
 	return g.engine.CacheEvents(ctx, engine.Target{Name: t.Name, Address: t.Address}, after)
 }
 
-// Versions implements broker.Reports. A target that says that it is leaving is
+// Versions implements broker.Reports. A target that reports that it is leaving is
 // told to the other instances.
 func (g *groups) Versions(ctx context.Context, t broker.PollTarget) ([]string, error) {
 	state, err := g.engine.State(ctx, engine.Target{Name: t.Name, Address: t.Address})
@@ -170,7 +170,7 @@
 		return nil, err
 	}
 	leaving := state.Role == roleLeaving
-	g.leaving.setSaid(t.Name, leaving)
+	g.leaving.setReported(t.Name, leaving)
 	if snapshot := g.snapshot(); leaving && snapshot != nil {
 		g.members.AddLeaving(membership.Leaving{Target: t.Name, Generation: snapshot.Generation()})
 	}
--- a/internal/daemon/leaving.go
+++ b/internal/daemon/leaving.go
@@ -10,7 +10,7 @@
 	"github.com/basilloom/basilloom/membership"
 )
 
-// roleLeaving is the role by which a target itself says that it is leaving.
+// roleLeaving is the role by which a target itself reports that it is leaving.
 const roleLeaving = "leaving"
 
 // leavingTargets holds the targets that any source knows as leaving.
@@ -18,14 +18,14 @@
 	set atomic.Pointer[map[string]bool]
 
 	mu sync.Mutex
-	// said holds when targets last said so themselves. It is apart from the
+	// reported holds when targets last reported so themselves. It is apart from the
 	// facts, which count for one generation: the target must get no work between
 	// a new generation and its next report.
-	said map[string]time.Time
+	reported map[string]time.Time
 }
 
-// saidValidity outlasts a few reports of a target; only the broker asks for them.
-const saidValidity = 5 * time.Second
+// reportValidity outlasts a few reports of a target; only the broker asks for them.
+const reportValidity = 5 * time.Second
 
 // Leaving implements entry.Targets.
 func (l *leavingTargets) Leaving(target string) bool {
@@ -34,29 +34,29 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.said[target]) < saidValidity
+	return time.Since(l.reported[target]) < reportValidity
 }
 
-// setSaid records the target's own word.
-func (l *leavingTargets) setSaid(target string, leaving bool) {
+// setReported records what the target reports of itself.
+func (l *leavingTargets) setReported(target string, leaving bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.said == nil {
-		l.said = make(map[string]time.Time)
+	if l.reported == nil {
+		l.reported = make(map[string]time.Time)
 	}
 	if leaving {
-		l.said[target] = time.Now()
+		l.reported[target] = time.Now()
 		return
 	}
-	delete(l.said, target)
+	delete(l.reported, target)
 }
 
-// saidTargets returns the targets that say that they are leaving.
-func (l *leavingTargets) saidTargets() []string {
+// reportedTargets returns the targets that report that they are leaving.
+func (l *leavingTargets) reportedTargets() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.said, func(_ string, at time.Time) bool { return time.Since(at) >= saidValidity })
-	return slices.Collect(maps.Keys(l.said))
+	maps.DeleteFunc(l.reported, func(_ string, at time.Time) bool { return time.Since(at) >= reportValidity })
+	return slices.Collect(maps.Keys(l.reported))
 }
 
 // update takes over the facts that spread between instances. A leaving notice
--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -93,10 +93,10 @@
 	transport Transport
 	list      platform.InstanceList
 	logger    *zap.Logger
-	wake      chan struct{} // holds one token while urgent records wait
-	calls     chan struct{} // bounds concurrent outgoing calls
-	fullTo    chan Instance // asked for the full view
-	doubted   chan doubt    // instances to check at once
+	wake      chan struct{}      // holds one token while urgent records wait
+	calls     chan struct{}      // bounds concurrent outgoing calls
+	fullTo    chan Instance      // asked for the full view
+	reports   chan failureReport // instances to check at once
 	running   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -128,7 +128,7 @@
 		wake:      make(chan struct{}, 1),
 		calls:     make(chan struct{}, maxCalls),
 		fullTo:    make(chan Instance, 1),
-		doubted:   make(chan doubt, maxCalls),
+		reports:   make(chan failureReport, maxCalls),
 		rng:       options.Rand,
 		view:      NewView(options.Self, time.Now()),
 		facts:     NewFacts(),
@@ -233,23 +233,23 @@
 	e.signalUrgent()
 }
 
-// Doubt has an instance checked at once, on the evidence of a call outside the
-// exchange that got no answer. Without an answer to any probe it becomes a
+// ReportFailure has an instance checked at once, on the evidence of a call
+// outside the exchange that got no answer. Without an answer to any probe it becomes a
 // suspect, and if it is in another region the instances there are checked too:
 // the link may be cut, and the next owner of a key would be as silent.
-func (e *Exchanger) Doubt(name string) {
-	e.queueDoubt(doubt{name: name, region: true})
+func (e *Exchanger) ReportFailure(name string) {
+	e.queueReport(failureReport{name: name, region: true})
 }
 
-// doubt asks for a check of an instance, and of its region if it fails.
-type doubt struct {
+// failureReport asks for a check of an instance, and of its region if it fails.
+type failureReport struct {
 	name   string
 	region bool
 }
 
-func (e *Exchanger) queueDoubt(d doubt) {
+func (e *Exchanger) queueReport(r failureReport) {
 	select {
-	case e.doubted <- d:
+	case e.reports <- r:
 	default: // the periodic exchange finds it too
 	}
 }
@@ -298,8 +298,8 @@
 			if !e.start(func() { e.sendFullView(ctx, peer, false) }) {
 				e.endFullView()
 			}
-		case d := <-e.doubted:
-			e.start(func() { e.checkDoubted(ctx, d) })
+		case r := <-e.reports:
+			e.start(func() { e.checkReported(ctx, r) })
 		case <-pause.C:
 			wake = e.wake
 		case <-wake:
--- a/membership/exchanger_test.go
+++ b/membership/exchanger_test.go
@@ -74,14 +74,14 @@
 	})
 }
 
-// Guards against a doubted instance that keeps its keys for seconds although no
+// Guards against a reported instance that keeps its keys for seconds although no
 // probe reaches it, and against one that loses them although a probe does.
-func TestDoubtedInstanceLosesItsKeys(t *testing.T) {
+func TestReportedInstanceLosesItsKeys(t *testing.T) {
 	within(t, 4, func(t *testing.T, f *fleet) {
 		members := f.startAll(9)
 		key := "pool/0"
 		owner, _ := members[0].Owner(key, "")
-		members[0].Doubt(owner.Name)
+		members[0].ReportFailure(owner.Name)
 		time.Sleep(2 * time.Second)
 		kept, _ := members[0].Owner(key, "")
 		require.Equal(t, owner, kept, "it answers")
@@ -93,7 +93,7 @@
 				reporter = m
 			}
 		}
-		reporter.Doubt(owner.Name)
+		reporter.ReportFailure(owner.Name)
 		took, ok := timeUntil(20*time.Second, func() bool {
 			for _, m := range members {
 				if now, _ := m.Owner(key, ""); now.Name == owner.Name && m.self.Name != owner.Name {
--- a/membership/outgoing.go
+++ b/membership/outgoing.go
@@ -171,29 +171,29 @@
 	return reached
 }
 
-// checkDoubted probes an instance directly and through helpers at the same time.
-func (e *Exchanger) checkDoubted(ctx context.Context, d doubt) {
+// checkReported probes an instance directly and through helpers at the same time.
+func (e *Exchanger) checkReported(ctx context.Context, r failureReport) {
 	e.mu.Lock()
-	record, known := e.view.Get(d.name)
+	record, known := e.view.Get(r.name)
 	e.mu.Unlock()
 	if !known || record.State != StateLive {
 		return
 	}
 	indirect := make(chan bool, 1)
 	go func() { indirect <- e.reachedByHelpers(ctx, record.Instance) }()
-	_, err := e.send(ctx, record.Instance, e.request(d.name, 0), ProbeTimeout)
+	_, err := e.send(ctx, record.Instance, e.request(r.name, 0), ProbeTimeout)
 	reached := <-indirect || err == nil
 	if reached || ctx.Err() != nil {
 		return
 	}
 	e.suspect(record.Instance, err)
-	if d.region {
-		e.doubtRegion(record.Region)
+	if r.region {
+		e.checkRegion(record.Region)
 	}
 }
 
-// doubtRegion has the instances of another region checked.
-func (e *Exchanger) doubtRegion(region string) {
+// checkRegion has the instances of another region checked.
+func (e *Exchanger) checkRegion(region string) {
 	e.mu.Lock()
 	live, own := e.view.Live(), e.view.Self().Region
 	e.mu.Unlock()
@@ -202,7 +202,7 @@
 	}
 	for _, i := range live {
 		if i.Region == region {
-			e.queueDoubt(doubt{name: i.Name})
+			e.queueReport(failureReport{name: i.Name})
 		}
 	}
 }
--- a/test/e2e/leaving_test.go
+++ b/test/e2e/leaving_test.go
@@ -92,7 +92,7 @@
 
 // Guards against an instance that learns of a leaving target from a peer only,
 // the table being down, and grants it work all the same: the target tells the
-// broker instance, takes its word back, and the broker instance dies.
+// broker instance, takes it back, and the broker instance dies.
 func TestLeavingTargetSpreadsWithoutTable(t *testing.T) {
 	t.Parallel()
 	engines := []*standin{startStandin(t, "engine"), startStandin(t, "engine")}
@@ -117,7 +117,7 @@
 		p.requireWhole(t)
 	}
 	requireOnce(t, calls, engines...)
-	t.Logf("%d requests served, last new work %v after the target's word", len(calls), last)
+	t.Logf("%d requests served, last new work %v after the target's report", len(calls), last)
 }
 
 // setRole orders an engine to a role, as a platform that drains it does.
