--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -138,6 +138,6 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("start the instances: %w", err)
 	}
-	callers := load.NewCallers(f.callers(), workspaceTokens)
-	return callers, func() { callers.Close(); f.close() }, nil
+	callers := load.NewCallers(f.Callers(), workspaceTokens)
+	return callers, func() { callers.Close(); f.Close() }, nil
 }
