--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -119,8 +119,8 @@
 	if e.paced || now.Sub(tier.refused) < refusalMemory {
 		return false
 	}
-	queue := max(g.capacity.wait(g.queue.waitingUpTo(tier.rank)).Seconds(), g.queue.drainTime(tier.rank))
-	return e.slack > queue+paceReserve.Seconds()
+	queue := g.capacity.wait(g.queue.waitingUpTo(tier.rank))
+	return e.slack > (queue + paceReserve).Seconds()
 }
 
 // awaitsLocal tells whether a target that is closed for its backlog is cheaper
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -115,7 +115,6 @@
 // grant gives the ticket a slot on the target.
 func (g *Group) grant(now time.Time, w *waiting, s *targetState, e estimate) Decision {
 	g.queue.dispatched(w)
-	w.class.tier.noteGrant(now)
 	g.unreserve(w)
 	r := &run{
 		ticket: w.ticket, target: s, granted: now, batch: s.load(now) + 1,
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -49,10 +49,6 @@
 	count     int
 	// refused is when a ticket of the tier was last refused.
 	refused time.Time
-	// granted is the time of the last grant after which tickets still waited,
-	// spacing the mean seconds from one grant to the next meanwhile.
-	granted time.Time
-	spacing float64
 }
 
 // class holds the tickets of one tier that want the same version, so that a
@@ -129,32 +125,6 @@
 	q.unlink(w)
 }
 
-// spacingWeight is the weight of a new sample in the spacing of grants.
-const spacingWeight = 0.1
-
-// noteGrant measures how fast a tier that waits gets its grants.
-func (t *tierQueue) noteGrant(now time.Time) {
-	if !t.granted.IsZero() {
-		t.spacing += spacingWeight * (now.Sub(t.granted).Seconds() - t.spacing)
-	}
-	t.granted = time.Time{}
-	if t.count > 0 {
-		t.granted = now
-	}
-}
-
-// drainTime is how long the waiting tickets of a tier and of those above it
-// take to get a grant at their present pace, in seconds.
-func (q *queue) drainTime(rank Rank) float64 {
-	total := 0.0
-	for _, tier := range q.tiers {
-		if tier.rank <= rank {
-			total += float64(tier.count) * tier.spacing
-		}
-	}
-	return total
-}
-
 // drop removes a ticket that was not served and gives its share back.
 func (q *queue) drop(w *waiting) {
 	tier := w.class.tier
