platform: Settled is named Retrying; role instead of duty in logs

Cause: a newcomer cannot tell from Settled that it retries and reads back, and duty is not the field's word. Ruled out: nothing; behaviour is unchanged. Measured: go vet and the tests of platform, claims, lease and golden pass.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -138,7 +138,7 @@
 	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
 	m.wg.Go(func() { r.run(ctx) })
 	m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
-	r.log.Info("broker duty taken")
+	r.log.Info("broker role taken")
 	return r, nil
 }
 
@@ -151,7 +151,7 @@
 		owner, _ := m.resolver.Owner(key)
 		settings, ok := m.source.Group(key)
 		if !ok || owner.Name != m.self {
-			r.log.Info("broker duty given up", zap.String("owner", owner.Name))
+			r.log.Info("broker role given up", zap.String("owner", owner.Name))
 			r.cancel()
 			delete(m.runners, key)
 			continue
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -121,7 +121,7 @@
 	instance string
 }
 
-// NewStore returns a store on the table, usually a platform.Settled.
+// NewStore returns a store on the table, usually a platform.Retrying.
 func NewStore(table platform.Table, instance string) *Store {
 	return &Store{table: table, instance: instance}
 }
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -31,9 +31,9 @@
 	}
 }
 
-func start(faults fault.Settings) (*memtable.Table, *platform.Settled, *claims.Store) {
+func start(faults fault.Settings) (*memtable.Table, *platform.Retrying, *claims.Store) {
 	table := memtable.New(faults)
-	settled := platform.NewSettled(table, platform.SettledSettings{})
+	settled := platform.NewRetrying(table, platform.RetrySettings{})
 	return table, settled, claims.NewStore(settled, "i-1")
 }
 
@@ -158,7 +158,7 @@
 			for i, pause := range pauses {
 				entries.Go(func() {
 					time.Sleep(time.Duration(pause) * time.Millisecond)
-					settled := platform.NewSettled(table, platform.SettledSettings{})
+					settled := platform.NewRetrying(table, platform.RetrySettings{})
 					store := claims.NewStore(settled, fmt.Sprint(i))
 					begun, _ := store.Begin(t.Context(), request("k"))
 					if begun.Outcome != claims.Acquired {
@@ -192,7 +192,7 @@
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
 	settings := platform.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}
-	store := claims.NewStore(platform.NewSettled(platform.NewDynamoDB(settings, "rows"), platform.SettledSettings{}), "i-1")
+	store := claims.NewStore(platform.NewRetrying(platform.NewDynamoDB(settings, "rows"), platform.RetrySettings{}), "i-1")
 	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
 	begun := requireOutcome(t, store, request("k"), claims.Acquired)
 	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
@@ -204,7 +204,7 @@
 // Measures one claim (Begin and Finish) on the in-memory table.
 func BenchmarkClaim(b *testing.B) {
 	table := memtable.New(fault.Settings{Unlimited: true})
-	settled := platform.NewSettled(table, platform.SettledSettings{WritesPerSecond: 1e9, WriteBurst: 1 << 30})
+	settled := platform.NewRetrying(table, platform.RetrySettings{WritesPerSecond: 1e9, WriteBurst: 1 << 30})
 	store := claims.NewStore(settled, "i-1")
 	result := claims.Result{Status: 200, ContentType: "application/json", Body: bytes.Repeat([]byte("x"), 512)}
 	b.ReportAllocs()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -131,7 +131,7 @@
 	r.call.Dispatched()
 	r.started = time.Now()
 	err := e.relay(ctx, out, r)
-	return e.settle(ctx, r, err)
+	return e.conclude(ctx, r, err)
 }
 
 func watchPreemption(ctx context.Context, call *broker.Call, preempt context.CancelCauseFunc) {
@@ -149,8 +149,8 @@
 	return e.relayService(ctx, out, r)
 }
 
-// settle reports the end of a run to the broker and the evidence of its version.
-func (e *Entry) settle(ctx context.Context, r *run, err error) (ending *Ending, again bool) {
+// conclude reports the end of a run to the broker and the evidence of its version.
+func (e *Entry) conclude(ctx context.Context, r *run, err error) (ending *Ending, again bool) {
 	var dispatchErr *engine.DispatchError
 	if errors.As(err, &dispatchErr) && dispatchErr.SafeToRetry() {
 		r.call.Complete(r.completion(pb.Result_RESULT_NOT_DISPATCHED))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,10 +59,10 @@
 		}
 	}
 	dynamo := platform.NewDynamoDB(service(s.TableEndpoint), s.TableName)
-	table := platform.NewSettled(dynamo, platform.SettledSettings{})
+	table := platform.NewRetrying(dynamo, platform.RetrySettings{})
 	return Platform{
 		Table:   table,
-		Leases:  platform.NewSettled(dynamo, platform.SettledSettings{}),
+		Leases:  platform.NewRetrying(dynamo, platform.RetrySettings{}),
 		Stats:   table.Stats,
 		Objects: platform.NewS3(service(s.ObjectsEndpoint), s.ObjectsBucket),
 		List:    platform.NewHTTPInstanceList(s.InstancesURL),
@@ -411,7 +411,7 @@
 	return entries
 }
 
-// shutdown hands over the broker duty first, so that waiting tickets move to
+// shutdown hands over the broker role first, so that waiting tickets move to
 // the successors while this instance still serves its own callers.
 func (d *Daemon) shutdown() {
 	d.log.Info("shutting down")
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -75,7 +75,7 @@
 	since time.Time
 }
 
-// NewManager returns a manager on the table, usually a platform.Settled.
+// NewManager returns a manager on the table, usually a platform.Retrying.
 func NewManager(table platform.Table, settings Settings) *Manager {
 	if settings.Duration == 0 {
 		settings.Duration = DefaultDuration
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -193,8 +193,8 @@
 func TestCostOfAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := memtable.New(fault.Settings{})
-		holder := platform.NewSettled(table, platform.SettledSettings{})
-		observer := platform.NewSettled(table, platform.SettledSettings{})
+		holder := platform.NewRetrying(table, platform.RetrySettings{})
+		observer := platform.NewRetrying(table, platform.RetrySettings{})
 		// Ends between two renewals, so that no write is cut by the end.
 		ctx, cancel := context.WithTimeout(t.Context(), time.Hour-time.Second)
 		defer cancel()
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -153,7 +153,7 @@
 	table := &lateTable{Table: inner}
 	var shared platform.Table = table
 	if settled {
-		shared = platform.NewSettled(table, platform.SettledSettings{AttemptTimeout: 5 * time.Second, Deadline: 20 * time.Second})
+		shared = platform.NewRetrying(table, platform.RetrySettings{AttemptTimeout: 5 * time.Second, Deadline: 20 * time.Second})
 	}
 	var running sync.WaitGroup
 	for i, list := range actors {
--- a/test/e2e/broker_failure_test.go
+++ b/test/e2e/broker_failure_test.go
@@ -47,7 +47,7 @@
 }
 
 // Guards against a graceful shutdown that cuts requests in flight, loses waiting
-// ones or keeps the broker duty.
+// ones or keeps the broker role.
 func TestTerminatedInstanceCutsNothing(t *testing.T) {
 	t.Parallel()
 	f, engines, owner, others := brokerFleet(t)
@@ -59,9 +59,9 @@
 	require.Eventually(t, func() bool {
 		brokers := f.brokers(modelsGroup)
 		return len(brokers) == 1 && brokers[0] != owner
-	}, 5*time.Second, pollInterval, "no successor took the broker duty")
+	}, 5*time.Second, pollInterval, "no successor took the broker role")
 	successor := time.Since(begun)
-	require.True(t, owner.running(), "the duty is handed over before the instance ends")
+	require.True(t, owner.running(), "the role is handed over before the instance ends")
 	require.Zero(t, owner.exited(t, 20*time.Second))
 	exited := time.Since(begun)
 
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -134,12 +134,12 @@
 func (i *instance) holdsDuty(group string) bool {
 	holds := false
 	for _, line := range i.lines() {
-		if !strings.Contains(line, "broker duty") {
+		if !strings.Contains(line, "broker role") {
 			continue
 		}
 		var entry struct{ Msg, Group string }
 		if json.Unmarshal([]byte(line), &entry) == nil && entry.Group == group {
-			holds = entry.Msg == "broker duty taken"
+			holds = entry.Msg == "broker role taken"
 		}
 	}
 	return holds
--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -84,7 +84,7 @@
 	if b, ok := in.brokers[key]; ok {
 		return b
 	}
-	in.world.logf("instance %s takes duty for %s/%d", in.name, key.pool, key.shard)
+	in.world.logf("instance %s takes the role for %s/%d", in.name, key.pool, key.shard)
 	rng := rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64()))
 	real := scheduler.NewGroup(groupConfig(in.snapshot, key), rng)
 	b := &brokerRole{
@@ -105,7 +105,7 @@
 		if in.owner(key) == in {
 			continue
 		}
-		in.world.logf("instance %s gives up duty for %s/%d", in.name, key.pool, key.shard)
+		in.world.logf("instance %s gives up the role for %s/%d", in.name, key.pool, key.shard)
 		in.brokers[key].closeSessions()
 		delete(in.brokers, key)
 	}
--- a/test/golden/operator_test.go
+++ b/test/golden/operator_test.go
@@ -215,7 +215,7 @@
 	o.watch(5 * time.Second)
 }
 
-// lease shows how the controller's duty passes on.
+// lease shows how the controller's role passes on.
 func (o *office) lease() {
 	o.scene("the controller's lease: held, paused, taken over, refused to the old holder")
 	i1 := lease.NewManager(o.table, lease.Settings{Holder: "i1", Incarnation: 1})
