entry: a claim ends with the request's deadline

Cause: while the table is down, a claimed call waited up to 6.0 s for its refusal with nine instances, past the 5 s of its tier: the wait for a grant and two calls of the table add up. Ruled out: shorter table calls, which would refuse calls that a slow table still records. Conclusion: the refusal stays true, because the claim comes before the dispatch.

--- a/entry/claimed.go
+++ b/entry/claimed.go
@@ -36,6 +36,10 @@
 	if g.claim != nil {
 		return nil
 	}
+	// A claim that is not written by the request's deadline is given up: nothing
+	// has been dispatched, so the refusal is true.
+	ctx, cancel := context.WithDeadline(ctx, g.req.deadline)
+	defer cancel()
 	begun, err := g.entry.settings.Claims.Begin(ctx, claims.Request{
 		Key: claims.Key{
 			Workspace: g.req.workspace.GetName(),
--- a/test/e2e/outage_test.go
+++ b/test/e2e/outage_test.go
@@ -52,8 +52,11 @@
 	}
 }
 
+// claimedDeadline is the first-token deadline of the route's tier.
+const claimedDeadline = 5 * time.Second
+
 // Guards against model requests that need the table, non-idempotent calls that
-// run without a claim, a configuration that does not spread or reverts while
+// run without a claim or wait past their deadline to be refused, a configuration that does not spread or reverts while
 // the table is down, and an instance that cannot start then.
 func TestTableOutage(t *testing.T) {
 	t.Parallel()
@@ -106,6 +109,7 @@
 	}
 	claimed.Wait()
 	refusal := time.Since(begun)
+	require.Less(t, refusal, claimedDeadline+time.Second, "a claimed call waits past its tier's deadline")
 	for n, i := range f.instances {
 		refused := refusals[n]
 		require.Equal(t, "not-run", refused.outcome(), refused.Body)
