broker: the handler of a ticket stream ends after its receiver

Cause: Serve returned while its receiving goroutine was still in Receive; otelconnect reads the stream's state after the handler. The race detector found it in TestOneTraceAcrossAllHops in a fresh clone (1 of about 14 runs). Ruled out: a fault of the test; the same happens whenever a broker gives up its role while entries are connected. Change: the handler receives until the entry ends the stream; an ended session asks the entry to leave, which closes the stream from its side.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -290,37 +289,43 @@
 	if err := session.Send(first); err != nil {
 		return err
 	}
-	go receiveAll(stream, session)
-	return sendAll(ctx, stream, session)
+	var sending sync.WaitGroup
+	sending.Go(func() { sendAll(ctx, stream, session) })
+	receiveAll(stream, session)
+	session.close()
+	sending.Wait()
+	return nil
 }
 
-// receiveAll ends when the stream ends, which connect does when Serve returns.
+// receiveAll passes on requests until the entry ends the stream. The handler
+// must not return earlier: connect's interceptors use the stream afterwards. An
+// ended session takes no more requests; sendAll has told the entry to leave.
 func receiveAll(stream TicketStream, session *Session) {
-	defer session.close()
 	for {
 		request, err := stream.Receive()
 		if err != nil {
 			return
 		}
-		if err := session.Send(request); err != nil {
-			return
-		}
+		_ = session.Send(request)
 	}
 }
 
-func sendAll(ctx context.Context, stream TicketStream, session *Session) error {
+// unknownOwner tells an entry to look for the owner itself.
+const unknownOwner = "unknown"
+
+// sendAll sends responses until the session ends, and then asks the entry to
+// leave. An error of the stream ends receiveAll too.
+func sendAll(ctx context.Context, stream TicketStream, session *Session) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-session.closed:
-			return nil
+			_ = stream.Send(&pb.TicketsResponse{NotBroker: unknownOwner})
+			return
 		case response := <-session.out:
 			if err := stream.Send(response); err != nil {
-				if errors.Is(err, io.EOF) {
-					return nil
-				}
-				return err
+				return
 			}
 		}
 	}
