--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -199,7 +199,6 @@
 	})
 	d.tracker = d.newTracker()
 	d.groups = &groups{
-		self:     d.self,
 		snapshot: d.watcher.Current,
 		members:  d.members,
 		leaving:  d.leaving,
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -14,7 +14,6 @@
 
 // groups gives the broker its owners, settings and reports.
 type groups struct {
-	self     membership.Instance
 	snapshot func() *config.Snapshot
 	members  *membership.Exchanger
 	leaving  *leavingTargets
--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -185,50 +185,29 @@
 	return e.facts.Snapshot()
 }
 
-// AddLeaving spreads a leaving target at once.
-func (e *Exchanger) AddLeaving(l Leaving) {
+// add runs a merge under the lock and publishes the facts if it was news.
+func (e *Exchanger) add(merge func() bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.mergeLeaving(l) {
+	if merge() {
 		e.publishFacts()
 	}
 }
 
+// AddLeaving spreads a leaving target at once.
+func (e *Exchanger) AddLeaving(l Leaving) { e.add(func() bool { return e.mergeLeaving(l) }) }
+
 // AddStop spreads a move stop at once.
-func (e *Exchanger) AddStop(s Stop) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mergeStop(s) {
-		e.publishFacts()
-	}
-}
+func (e *Exchanger) AddStop(s Stop) { e.add(func() bool { return e.mergeStop(s) }) }
 
 // AddProgress spreads what a version move's row says at once.
-func (e *Exchanger) AddProgress(p Progress) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mergeProgress(p) {
-		e.publishFacts()
-	}
-}
+func (e *Exchanger) AddProgress(p Progress) { e.add(func() bool { return e.mergeProgress(p) }) }
 
 // AddQuarantine spreads a quarantine entry at once.
-func (e *Exchanger) AddQuarantine(q Quarantine) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mergeQuarantine(q) {
-		e.publishFacts()
-	}
-}
+func (e *Exchanger) AddQuarantine(q Quarantine) { e.add(func() bool { return e.mergeQuarantine(q) }) }
 
 // AddEvidence spreads the instance's own counters with the periodic exchange.
-func (e *Exchanger) AddEvidence(ev Evidence) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mergeEvidence(ev) {
-		e.publishFacts()
-	}
-}
+func (e *Exchanger) AddEvidence(ev Evidence) { e.add(func() bool { return e.mergeEvidence(ev) }) }
 
 // SetGeneration tells the peers at once that the instance holds the content of
 // a configuration generation. A lower generation than the present one is ignored.
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -128,14 +128,12 @@
 
 // Reasons of refusals and cancellations.
 const (
-	ReasonQueueFull     Reason = "queue_full"
-	ReasonDeadline      Reason = "deadline"
-	ReasonNoTarget      Reason = "no_target"
-	ReasonQuarantined   Reason = "quarantined"
-	ReasonShutOut       Reason = "shut_out"
-	ReasonHigherTier    Reason = "higher_tier"
-	ReasonEntryGone     Reason = "entry_gone"
-	ReasonUnknownTicket Reason = "unknown_ticket"
+	ReasonQueueFull   Reason = "queue_full"
+	ReasonDeadline    Reason = "deadline"
+	ReasonNoTarget    Reason = "no_target"
+	ReasonQuarantined Reason = "quarantined"
+	ReasonShutOut     Reason = "shut_out"
+	ReasonHigherTier  Reason = "higher_tier"
 )
 
 // Decision is a Grant, a Refuse or a Cancel.
