--- a/claims/claims.go
+++ b/claims/claims.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const (
@@ -74,8 +74,8 @@
 
 // row escapes the workspace, so that its name and a route's slashes cannot
 // form the partition of another workspace.
-func (k Key) row() (platform.Key, error) {
-	row := platform.Key{Partition: "claim/" + url.PathEscape(k.Workspace) + "/" + k.Route, Sort: k.Caller}
+func (k Key) row() (storage.Key, error) {
+	row := storage.Key{Partition: "claim/" + url.PathEscape(k.Workspace) + "/" + k.Route, Sort: k.Caller}
 	if row.Sort == "" || len(row.Sort) > MaxKeyBytes || len(row.Partition) > maxPartitionBytes {
 		return row, fmt.Errorf("%w: the key must have 1 to %d bytes", ErrInvalidKey, MaxKeyBytes)
 	}
@@ -103,7 +103,7 @@
 // Claim is a held claim. It may be used for further attempts as long as no
 // byte of the request was written. It is used by one goroutine at a time.
 type Claim struct {
-	key     platform.Key
+	key     storage.Key
 	row     *pb.ClaimRow
 	version int64
 }
@@ -117,12 +117,12 @@
 
 // Store writes claims of one instance. It is safe for concurrent use.
 type Store struct {
-	table    platform.Table
+	table    storage.Table
 	instance string
 }
 
-// NewStore returns a store on the table, usually a platform.Retrying.
-func NewStore(table platform.Table, instance string) *Store {
+// NewStore returns a store on the table, usually a storage.Retrying.
+func NewStore(table storage.Table, instance string) *Store {
 	return &Store{table: table, instance: instance}
 }
 
@@ -145,9 +145,9 @@
 	switch {
 	case err == nil:
 		return Begun{Outcome: Acquired, Claim: claim}, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return s.existing(ctx, key, request)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, storage.ErrUnknown):
 		// The row may be another call's, which may have run.
 		if begun, readErr := s.existing(ctx, key, request); readErr == nil {
 			return begun, nil
@@ -159,9 +159,9 @@
 }
 
 // existing reports the claim that another call holds.
-func (s *Store) existing(ctx context.Context, key platform.Key, request Request) (Begun, error) {
+func (s *Store) existing(ctx context.Context, key storage.Key, request Request) (Begun, error) {
 	stored, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		// Its holder has abandoned it since; the caller may repeat the call.
 		return Begun{Outcome: Refused}, fmt.Errorf("claim was abandoned meanwhile: %w", err)
 	}
@@ -236,8 +236,8 @@
 		return fmt.Errorf("encode: %w", err)
 	}
 	written, err := s.table.Put(ctx, claim.key, value, claim.version)
-	lost := errors.Is(err, platform.ErrUnknown)
-	repeated := claim.version > 0 && errors.Is(err, platform.ErrConflict)
+	lost := errors.Is(err, storage.ErrUnknown)
+	repeated := claim.version > 0 && errors.Is(err, storage.ErrConflict)
 	if lost || repeated {
 		stored, readErr := s.table.Get(ctx, claim.key)
 		if readErr == nil && isStored(stored.Value, row) {
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -18,7 +18,7 @@
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
 	"github.com/basilloom/basilloom/internal/standin/table"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const timeout = 10 * time.Second
@@ -31,9 +31,9 @@
 	}
 }
 
-func start(faults fault.Settings) (*memtable.Table, *platform.Retrying, *claims.Store) {
+func start(faults fault.Settings) (*memtable.Table, *storage.Retrying, *claims.Store) {
 	table := memtable.New(faults)
-	settled := platform.NewRetrying(table, platform.RetrySettings{})
+	settled := storage.NewRetrying(table, storage.RetrySettings{})
 	return table, settled, claims.NewStore(settled, "i-1")
 }
 
@@ -104,7 +104,7 @@
 		table.Faults.Set(fault.Settings{Outage: true})
 		requireOutcome(t, store, request("other"), claims.Refused)
 		result := claims.Result{Status: 200, Body: []byte("ok")}
-		require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, result), platform.ErrUnavailable)
+		require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, result), storage.ErrUnavailable)
 		require.Error(t, store.Abandon(t.Context(), begun.Claim))
 		table.Faults.Set(fault.Settings{LoseNext: 1})
 		requireOutcome(t, store, request("k"), claims.InProgress)
@@ -121,8 +121,8 @@
 	store := claims.NewStore(table, "i-1")
 	begun := requireOutcome(t, store, request("k"), claims.Acquired)
 	table.Faults.Set(fault.Settings{LoseNext: 1, ReadsPerSecond: 1e-9})
-	_, _ = table.Get(t.Context(), platform.Key{}) // uses the only read of the limit
-	require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200}), platform.ErrUnknown)
+	_, _ = table.Get(t.Context(), storage.Key{}) // uses the only read of the limit
+	require.ErrorIs(t, store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200}), storage.ErrUnknown)
 	table.Faults.Set(fault.Settings{})
 	require.NoError(t, store.Finish(t.Context(), begun.Claim, claims.Result{Status: 200}))
 
@@ -131,11 +131,11 @@
 }
 
 // lostConflicts loses the answer of a write whose condition failed.
-type lostConflicts struct{ platform.Table }
+type lostConflicts struct{ storage.Table }
 
-func (l lostConflicts) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (l lostConflicts) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	_, _ = l.Table.Put(ctx, key, value, expect)
-	return platform.Row{}, platform.ErrUnknown
+	return storage.Row{}, storage.ErrUnknown
 }
 
 // Guards against two entries that both dispatch a call with the same key, under
@@ -158,7 +158,7 @@
 			for i, pause := range pauses {
 				entries.Go(func() {
 					time.Sleep(time.Duration(pause) * time.Millisecond)
-					settled := platform.NewRetrying(table, platform.RetrySettings{})
+					settled := storage.NewRetrying(table, storage.RetrySettings{})
 					store := claims.NewStore(settled, fmt.Sprint(i))
 					begun, _ := store.Begin(t.Context(), request("k"))
 					if begun.Outcome != claims.Acquired {
@@ -191,8 +191,8 @@
 	service := table.New("rows", fault.Settings{})
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	settings := platform.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}
-	store := claims.NewStore(platform.NewRetrying(platform.NewDynamoDB(settings, "rows"), platform.RetrySettings{}), "i-1")
+	settings := storage.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}
+	store := claims.NewStore(storage.NewRetrying(storage.NewDynamoDB(settings, "rows"), storage.RetrySettings{}), "i-1")
 	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
 	begun := requireOutcome(t, store, request("k"), claims.Acquired)
 	service.Table.Faults.Set(fault.Settings{LoseNext: 1})
@@ -204,7 +204,7 @@
 // Measures one claim (Begin and Finish) on the in-memory table.
 func BenchmarkClaim(b *testing.B) {
 	table := memtable.New(fault.Settings{Unlimited: true})
-	settled := platform.NewRetrying(table, platform.RetrySettings{WritesPerSecond: 1e9, WriteBurst: 1 << 30})
+	settled := storage.NewRetrying(table, storage.RetrySettings{WritesPerSecond: 1e9, WriteBurst: 1 << 30})
 	store := claims.NewStore(settled, "i-1")
 	result := claims.Result{Status: 200, ContentType: "application/json", Body: bytes.Repeat([]byte("x"), 512)}
 	b.ReportAllocs()
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // lostAnswer says what becomes of a write whose answer is lost.
@@ -24,9 +24,9 @@
 
 // fakeStore is a table with one row, of which only Get and Put work, and an object store.
 type fakeStore struct {
-	platform.Table
+	storage.Table
 	mu      sync.Mutex
-	row     platform.Row
+	row     storage.Row
 	objects map[string][]byte
 	away    bool
 	puts    []lostAnswer // consumed by the next writes of the row
@@ -65,53 +65,53 @@
 	f.mu.Unlock()
 	if away {
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-func (f *fakeStore) Get(ctx context.Context, _ platform.Key) (platform.Row, error) {
+func (f *fakeStore) Get(ctx context.Context, _ storage.Key) (storage.Row, error) {
 	if err := f.begin(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if next(&f.gets) != answered {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	if f.row.Version == 0 {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return f.row, nil
 }
 
 func (f *fakeStore) write(value []byte) {
-	f.row = platform.Row{Key: GenerationKey, Version: f.row.Version + 1, Value: value}
+	f.row = storage.Row{Key: GenerationKey, Version: f.row.Version + 1, Value: value}
 }
 
-func (f *fakeStore) Put(ctx context.Context, _ platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (f *fakeStore) Put(ctx context.Context, _ storage.Key, value []byte, expect int64) (storage.Row, error) {
 	if err := f.begin(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	outcome := next(&f.puts)
 	if outcome == lostUnwritten {
-		return platform.Row{}, platform.ErrUnknown
+		return storage.Row{}, storage.ErrUnknown
 	}
 	if outcome == raced {
 		f.write(f.rival())
 	}
 	if f.row.Version != expect {
-		return platform.Row{}, platform.ErrConflict
+		return storage.Row{}, storage.ErrConflict
 	}
 	f.write(value)
 	if outcome == overtaken {
 		f.write(f.rival())
 	}
 	if outcome != answered {
-		return platform.Row{}, platform.ErrUnknown
+		return storage.Row{}, storage.ErrUnknown
 	}
 	return f.row, nil
 }
@@ -127,7 +127,7 @@
 	defer f.mu.Unlock()
 	content, ok := f.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return content, nil
 }
--- a/config/generation.go
+++ b/config/generation.go
@@ -12,11 +12,11 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	basilloomv1 "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // GenerationKey is the row that holds the newest accepted generation.
-var GenerationKey = platform.Key{Partition: "config", Sort: "generation"}
+var GenerationKey = storage.Key{Partition: "config", Sort: "generation"}
 
 // maxAttempts bounds the rounds of an Apply whose answers are lost.
 const maxAttempts = 4
@@ -69,13 +69,13 @@
 // Store keeps generations: the content under its hash in the object store, the
 // newest number in one row of the table.
 type Store struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   storage.Table
+	objects storage.ObjectStore
 	now     func() time.Time
 }
 
 // NewStore returns a store. A nil clock means time.Now.
-func NewStore(table platform.Table, objects platform.ObjectStore, now func() time.Time) *Store {
+func NewStore(table storage.Table, objects storage.ObjectStore, now func() time.Time) *Store {
 	if now == nil {
 		now = time.Now
 	}
@@ -96,7 +96,7 @@
 // none is accepted). Repeating it with the same apply id is safe and returns the
 // first result while that generation is the newest. Errors: Errors,
 // *ConflictError, ErrApplyIDReused, ErrNoApplyID and those of the platform;
-// after platform.ErrUnknown the caller repeats it with the same apply id.
+// after storage.ErrUnknown the caller repeats it with the same apply id.
 func (s *Store) Apply(ctx context.Context, config *basilloomv1.Config, applyID, operator string, expect int64) (*basilloomv1.GenerationRow, error) {
 	if applyID == "" {
 		return nil, ErrNoApplyID
@@ -131,7 +131,7 @@
 	var err error
 	for range maxAttempts {
 		err = s.objects.Put(ctx, hash, content)
-		if !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, storage.ErrUnknown) {
 			return err
 		}
 	}
@@ -148,16 +148,16 @@
 	lost := false
 	for range maxAttempts {
 		_, err = s.table.Put(ctx, GenerationKey, value, version)
-		lost = lost || errors.Is(err, platform.ErrUnknown)
+		lost = lost || errors.Is(err, storage.ErrUnknown)
 		if err == nil {
 			return next, nil
 		}
-		if !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, storage.ErrUnknown) && !errors.Is(err, storage.ErrConflict) {
 			return nil, fmt.Errorf("write the generation: %w", err)
 		}
 		current, at, readErr := s.read(ctx)
 		if readErr != nil {
-			return nil, fmt.Errorf("read back the generation (%w): %w", readErr, platform.ErrUnknown)
+			return nil, fmt.Errorf("read back the generation (%w): %w", readErr, storage.ErrUnknown)
 		}
 		if current.GetApplyId() == next.ApplyId {
 			return settled(current, next)
@@ -167,7 +167,7 @@
 			return nil, conflict(current, next.Generation-1, lost && at > version+1)
 		}
 	}
-	return nil, fmt.Errorf("write the generation: %w", platform.ErrUnknown)
+	return nil, fmt.Errorf("write the generation: %w", storage.ErrUnknown)
 }
 
 func settled(current, next *basilloomv1.GenerationRow) (*basilloomv1.GenerationRow, error) {
@@ -190,7 +190,7 @@
 // read returns a nil row and version 0 if no configuration has been accepted.
 func (s *Store) read(ctx context.Context) (*basilloomv1.GenerationRow, int64, error) {
 	stored, err := s.table.Get(ctx, GenerationKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
--- a/config/generation_test.go
+++ b/config/generation_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	basilloomv1 "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 func testStore(fake *fakeStore) *Store {
@@ -38,8 +38,8 @@
 		{name: "lost after the write", puts: []lostAnswer{lostWritten}, version: 1},
 		{name: "lost before the write", puts: []lostAnswer{lostUnwritten}, version: 1},
 		{name: "lost twice", puts: []lostAnswer{lostUnwritten, lostWritten}, version: 1},
-		{name: "always lost", puts: []lostAnswer{lostUnwritten, lostUnwritten, lostUnwritten, lostUnwritten}, err: platform.ErrUnknown},
-		{name: "read back fails", puts: []lostAnswer{lostWritten}, gets: []lostAnswer{answered, hung}, err: platform.ErrUnknown, version: 1},
+		{name: "always lost", puts: []lostAnswer{lostUnwritten, lostUnwritten, lostUnwritten, lostUnwritten}, err: storage.ErrUnknown},
+		{name: "read back fails", puts: []lostAnswer{lostWritten}, gets: []lostAnswer{answered, hung}, err: storage.ErrUnknown, version: 1},
 		{name: "raced", puts: []lostAnswer{raced}, rival: 1, err: rival, version: 1},
 		{name: "lost, then raced", puts: []lostAnswer{lostUnwritten, raced}, rival: 1, err: rival, version: 1},
 		{name: "overtaken after the write", puts: []lostAnswer{overtaken}, rival: 2, err: overtook, version: 2},
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	basilloomv1 "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // fakePeers asks the watchers of a fleet directly.
@@ -50,7 +50,7 @@
 			return s.Hash(), proto.CloneOf(s.Config()), nil
 		}
 	}
-	return "", nil, platform.ErrNotFound
+	return "", nil, storage.ErrNotFound
 }
 
 func testWatcher(fake *fakeStore, peers Peers, fleet int) *Watcher {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,7 +17,7 @@
 	"github.com/basilloom/basilloom/config"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/moves"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // ErrStaleFence is returned by Engines.Order if the target has seen a higher
@@ -50,7 +50,7 @@
 // Settings is what a Controller works with. Durations and limits that are 0 take
 // the value of DefaultSettings.
 type Settings struct {
-	Table    platform.Table
+	Table    storage.Table
 	Lease    Lease
 	Snapshot func() *config.Snapshot
 	View     View
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -20,7 +20,7 @@
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
 	"github.com/basilloom/basilloom/moves"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const (
@@ -38,32 +38,32 @@
 // faultyTable injects faults into the controllers' and operators' calls only, so
 // that tests can read the rows. Blind makes reading a row back fail.
 type faultyTable struct {
-	platform.Table
+	storage.Table
 	faults *fault.Injector
 	blind  atomic.Bool
 }
 
-func (f *faultyTable) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, key storage.Key) (storage.Row, error) {
 	if f.blind.Load() || f.faults.Before(ctx, false) != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return f.Table.Get(ctx, key)
 }
 
-func (f *faultyTable) List(ctx context.Context, partition string) ([]platform.Row, error) {
+func (f *faultyTable) List(ctx context.Context, partition string) ([]storage.Row, error) {
 	if f.faults.Before(ctx, false) != nil {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return f.Table.List(ctx, partition)
 }
 
-func (f *faultyTable) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (f *faultyTable) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	if f.faults.Before(ctx, true) != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, err := f.Table.Put(ctx, key, value, expect)
 	if err == nil && f.faults.LoseAnswer(true) {
-		return platform.Row{}, platform.ErrUnknown
+		return storage.Row{}, storage.ErrUnknown
 	}
 	return row, err
 }
--- a/controller/moves_test.go
+++ b/controller/moves_test.go
@@ -11,7 +11,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Guards against good versions that are late, and against loads above the budget.
@@ -98,10 +98,10 @@
 }
 
 // lostWrites loses writes before they take effect.
-type lostWrites struct{ platform.Table }
+type lostWrites struct{ storage.Table }
 
-func (lostWrites) Put(context.Context, platform.Key, []byte, int64) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnknown
+func (lostWrites) Put(context.Context, storage.Key, []byte, int64) (storage.Row, error) {
+	return storage.Row{}, storage.ErrUnknown
 }
 
 // Guards against a lost write that is taken for another writer's row.
@@ -110,7 +110,7 @@
 	_, err := writeRow(t.Context(), table, &pb.MoveRow{Move: "a"}, 0)
 	require.NoError(t, err)
 	_, err = writeRow(t.Context(), lostWrites{table}, &pb.MoveRow{Move: "a"}, 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, storage.ErrConflict)
 }
 
 // Guards against a move that goes on, is lost or raises the share without a row
--- a/controller/rows.go
+++ b/controller/rows.go
@@ -12,7 +12,7 @@
 	"github.com/basilloom/basilloom/config"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/moves"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Partition holds the rows of moves; the sort key is the name of the move.
@@ -37,7 +37,7 @@
 	}
 }
 
-func decode(row platform.Row) (*moveRow, error) {
+func decode(row storage.Row) (*moveRow, error) {
 	out := &moveRow{MoveRow: &pb.MoveRow{}, version: row.Version}
 	if err := proto.Unmarshal(row.Value, out.MoveRow); err != nil {
 		return nil, fmt.Errorf("decode row %s/%s: %w", row.Key.Partition, row.Key.Sort, err)
@@ -45,7 +45,7 @@
 	return out, nil
 }
 
-func readRows(ctx context.Context, table platform.Table) (map[string]*moveRow, error) {
+func readRows(ctx context.Context, table storage.Table) (map[string]*moveRow, error) {
 	stored, err := table.List(ctx, Partition)
 	if err != nil {
 		return nil, fmt.Errorf("list moves: %w", err)
@@ -62,9 +62,9 @@
 }
 
 // readRow returns the row, or nil if there is none.
-func readRow(ctx context.Context, table platform.Table, move string) (*moveRow, error) {
-	stored, err := table.Get(ctx, platform.Key{Partition: Partition, Sort: move})
-	if errors.Is(err, platform.ErrNotFound) {
+func readRow(ctx context.Context, table storage.Table, move string) (*moveRow, error) {
+	stored, err := table.Get(ctx, storage.Key{Partition: Partition, Sort: move})
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -75,19 +75,19 @@
 
 // writeRow writes a row on the version that was read. A lost answer is settled by
 // reading the row back and comparing the nonce; if that fails too, the error is
-// platform.ErrUnknown.
-func writeRow(ctx context.Context, table platform.Table, row *pb.MoveRow, expect int64) (*moveRow, error) {
+// storage.ErrUnknown.
+func writeRow(ctx context.Context, table storage.Table, row *pb.MoveRow, expect int64) (*moveRow, error) {
 	row.Nonce = rand.Text()
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return nil, fmt.Errorf("encode move %s: %w", row.GetMove(), err)
 	}
-	key := platform.Key{Partition: Partition, Sort: row.GetMove()}
+	key := storage.Key{Partition: Partition, Sort: row.GetMove()}
 	stored, err := table.Put(ctx, key, value, expect)
 	if err == nil {
 		return &moveRow{row, stored.Version}, nil
 	}
-	if !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, storage.ErrUnknown) {
 		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), err)
 	}
 	found, readErr := readRow(ctx, table, row.GetMove())
@@ -95,7 +95,7 @@
 		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), err)
 	}
 	if found == nil || found.GetNonce() != row.GetNonce() {
-		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), platform.ErrConflict)
+		return nil, fmt.Errorf("write move %s: %w", row.GetMove(), storage.ErrConflict)
 	}
 	return found, nil
 }
@@ -113,9 +113,9 @@
 }
 
 // Cancel takes a move back for an operator. It returns a *CancelError if another
-// operator or the controller came first, and platform.ErrUnknown if the outcome
+// operator or the controller came first, and storage.ErrUnknown if the outcome
 // cannot be told; Cancel may be called again after any other error.
-func Cancel(ctx context.Context, table platform.Table, move *pb.Move, operator string) (*pb.MoveRow, error) {
+func Cancel(ctx context.Context, table storage.Table, move *pb.Move, operator string) (*pb.MoveRow, error) {
 	reason := "cancelled by " + operator
 	var err error
 	for range cancelAttempts {
@@ -124,14 +124,14 @@
 		if err == nil {
 			return row.MoveRow, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, storage.ErrConflict) {
 			return nil, err
 		}
 	}
 	return nil, err
 }
 
-func cancelOnce(ctx context.Context, table platform.Table, move *pb.Move, reason string) (*moveRow, error) {
+func cancelOnce(ctx context.Context, table storage.Table, move *pb.Move, reason string) (*moveRow, error) {
 	row, err := readRow(ctx, table, move.GetName())
 	if err != nil {
 		return nil, err
@@ -153,7 +153,7 @@
 // stoppedLocally tells whether this instance has stopped a move; it may be nil.
 func Status(
 	ctx context.Context,
-	table platform.Table,
+	table storage.Table,
 	snapshot *config.Snapshot,
 	stoppedLocally func(move string) bool,
 ) ([]*pb.MoveStatus, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,8 +26,8 @@
 	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/moves"
 	"github.com/basilloom/basilloom/peer"
-	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry"
 )
 
@@ -42,30 +42,30 @@
 
 // Platform is what an instance uses of the platform.
 type Platform struct {
-	Table platform.Table
+	Table storage.Table
 	// Leases is the same table behind limits of its own.
-	Leases  platform.Table
-	Objects platform.ObjectStore
-	List    platform.InstanceList
+	Leases  storage.Table
+	Objects storage.ObjectStore
+	List    storage.InstanceList
 	// Stats returns the number of table calls; it may be nil.
-	Stats func() platform.Stats
+	Stats func() storage.Stats
 }
 
 // NewPlatform connects to the platform's services that the settings name.
 func NewPlatform(s Settings) Platform {
-	service := func(endpoint string) platform.ServiceSettings {
-		return platform.ServiceSettings{
+	service := func(endpoint string) storage.ServiceSettings {
+		return storage.ServiceSettings{
 			Endpoint: endpoint, Region: s.PlatformRegion, AccessKey: s.AccessKey, SecretKey: s.SecretKey,
 		}
 	}
-	dynamo := platform.NewDynamoDB(service(s.TableEndpoint), s.TableName)
-	table := platform.NewRetrying(dynamo, platform.RetrySettings{})
+	dynamo := storage.NewDynamoDB(service(s.TableEndpoint), s.TableName)
+	table := storage.NewRetrying(dynamo, storage.RetrySettings{})
 	return Platform{
 		Table:   table,
-		Leases:  platform.NewRetrying(dynamo, platform.RetrySettings{}),
+		Leases:  storage.NewRetrying(dynamo, storage.RetrySettings{}),
 		Stats:   table.Stats,
-		Objects: platform.NewS3(service(s.ObjectsEndpoint), s.ObjectsBucket),
-		List:    platform.NewHTTPInstanceList(s.InstancesURL),
+		Objects: storage.NewS3(service(s.ObjectsEndpoint), s.ObjectsBucket),
+		List:    storage.NewHTTPInstanceList(s.InstancesURL),
 	}
 }
 
@@ -75,7 +75,7 @@
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
 	// storeStats is nil if the platform does not count calls.
-	storeStats func() platform.Stats
+	storeStats func() storage.Stats
 	platform   Platform
 	leases     *lease.Manager
 
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -14,8 +14,8 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
 	"github.com/basilloom/basilloom/moves"
-	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // operatorService serves the operators' command line.
@@ -25,7 +25,7 @@
 	store   *config.Store
 	watcher *config.Watcher
 	brokers *broker.Manager
-	table   platform.Table
+	table   storage.Table
 	tracker *moves.Tracker
 }
 
@@ -59,9 +59,9 @@
 
 func storeError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return connect.NewError(connect.CodeUnavailable, err)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, storage.ErrUnknown):
 		return connect.NewError(connect.CodeUnknown, err)
 	default:
 		return connect.NewError(connect.CodeInternal, err)
--- a/internal/embedded/fleet.go
+++ b/internal/embedded/fleet.go
@@ -20,7 +20,7 @@
 	"github.com/basilloom/basilloom/internal/standin/instances"
 	"github.com/basilloom/basilloom/internal/standin/objects"
 	"github.com/basilloom/basilloom/internal/standin/table"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Loopback is the address of a listener on a free port.
@@ -79,7 +79,7 @@
 	if _, err := store.Apply(run, configuration, "embedded", "embedded", 0); err != nil {
 		return fmt.Errorf("apply the configuration: %w", err)
 	}
-	var records []platform.InstanceRecord
+	var records []storage.InstanceRecord
 	for _, place := range places {
 		settings.Instance, settings.Region, settings.Zone = place.Name, place.Region, place.Zone
 		d, err := daemon.New(settings, daemon.NewPlatform(settings), log)
@@ -91,7 +91,7 @@
 		}
 		f.Daemons = append(f.Daemons, d)
 		_, peers, _ := d.Addresses()
-		records = append(records, platform.InstanceRecord{
+		records = append(records, storage.InstanceRecord{
 			Name: place.Name, Address: peers, Region: place.Region, Zone: place.Zone,
 		})
 	}
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/basilloom/basilloom/internal/standin/fault"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Server serves the list on GET /instances. PUT /instances replaces it, and
@@ -26,7 +26,7 @@
 
 type version struct {
 	visible time.Time
-	records []platform.InstanceRecord
+	records []storage.InstanceRecord
 }
 
 // New returns an empty list with the given lag.
@@ -46,7 +46,7 @@
 }
 
 // Set replaces the list after the lag.
-func (s *Server) Set(records []platform.InstanceRecord) {
+func (s *Server) Set(records []storage.InstanceRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, version{time.Now().Add(s.lag), slices.Clone(records)})
@@ -57,7 +57,7 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-func (s *Server) visible() []platform.InstanceRecord {
+func (s *Server) visible() []storage.InstanceRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -65,7 +65,7 @@
 		s.versions = s.versions[1:]
 	}
 	if len(s.versions) == 0 || s.versions[0].visible.After(now) {
-		return []platform.InstanceRecord{}
+		return []storage.InstanceRecord{}
 	}
 	return s.versions[0].records
 }
@@ -80,7 +80,7 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	var records []platform.InstanceRecord
+	var records []storage.InstanceRecord
 	if err := json.NewDecoder(r.Body).Decode(&records); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/memtable/memtable.go
+++ b/internal/standin/memtable/memtable.go
@@ -1,4 +1,4 @@
-// Package memtable is an in-memory platform.Table with injected faults.
+// Package memtable is an in-memory storage.Table with injected faults.
 package memtable
 
 import (
@@ -10,7 +10,7 @@
 	"sync"
 
 	"github.com/basilloom/basilloom/internal/standin/fault"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Table is the in-memory table. It is safe for concurrent use.
@@ -19,44 +19,44 @@
 	Faults *fault.Injector
 
 	mu   sync.Mutex
-	rows map[platform.Key]platform.Row
+	rows map[storage.Key]storage.Row
 }
 
 // New returns an empty table.
 func New(faults fault.Settings) *Table {
-	return &Table{Faults: fault.New(faults), rows: map[platform.Key]platform.Row{}}
+	return &Table{Faults: fault.New(faults), rows: map[storage.Key]storage.Row{}}
 }
 
 // Get returns the row.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (t *Table) Get(ctx context.Context, key storage.Key) (storage.Row, error) {
 	if err := t.Faults.Before(ctx, false); err != nil {
-		return platform.Row{}, unavailable(err)
+		return storage.Row{}, unavailable(err)
 	}
 	row, found := t.load(key)
 	if err := t.Faults.Delay(ctx); err != nil {
-		return platform.Row{}, unavailable(err)
+		return storage.Row{}, unavailable(err)
 	}
 	if !found {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
 // Put writes the row if its version equals expect.
-func (t *Table) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (t *Table) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	if err := t.Faults.Before(ctx, true); err != nil {
-		return platform.Row{}, unavailable(err)
+		return storage.Row{}, unavailable(err)
 	}
-	row := platform.Row{Key: key, Version: expect + 1, Value: slices.Clone(value)}
+	row := storage.Row{Key: key, Version: expect + 1, Value: slices.Clone(value)}
 	written := t.swap(key, expect, &row)
 	if err := t.answer(ctx, written); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return row, nil
 }
 
 // Delete removes the row if its version equals expect.
-func (t *Table) Delete(ctx context.Context, key platform.Key, expect int64) error {
+func (t *Table) Delete(ctx context.Context, key storage.Key, expect int64) error {
 	if err := t.Faults.Before(ctx, true); err != nil {
 		return unavailable(err)
 	}
@@ -65,7 +65,7 @@
 }
 
 // List returns the rows of the partition by sort key.
-func (t *Table) List(ctx context.Context, partition string) ([]platform.Row, error) {
+func (t *Table) List(ctx context.Context, partition string) ([]storage.Row, error) {
 	if err := t.Faults.Before(ctx, false); err != nil {
 		return nil, unavailable(err)
 	}
@@ -76,7 +76,7 @@
 	return rows, nil
 }
 
-func (t *Table) load(key platform.Key) (platform.Row, bool) {
+func (t *Table) load(key storage.Key) (storage.Row, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, found := t.rows[key]
@@ -84,7 +84,7 @@
 	return row, found
 }
 
-func (t *Table) swap(key platform.Key, expect int64, row *platform.Row) bool {
+func (t *Table) swap(key storage.Key, expect int64, row *storage.Row) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.rows[key].Version != expect {
@@ -98,17 +98,17 @@
 	return true
 }
 
-func (t *Table) partition(partition string) []platform.Row {
+func (t *Table) partition(partition string) []storage.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for key, row := range t.rows {
 		if key.Partition == partition {
 			row.Value = slices.Clone(row.Value)
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
 	return rows
 }
 
@@ -116,17 +116,17 @@
 // ErrUnknown if the answer is lost.
 func (t *Table) answer(ctx context.Context, written bool) error {
 	if t.Faults.LoseAnswer(written) {
-		return fmt.Errorf("%w: injected", platform.ErrUnknown)
+		return fmt.Errorf("%w: injected", storage.ErrUnknown)
 	}
 	if err := t.Faults.Delay(ctx); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnknown, err)
 	}
 	if !written {
-		return platform.ErrConflict
+		return storage.ErrConflict
 	}
 	return nil
 }
 
 func unavailable(err error) error {
-	return errors.Join(platform.ErrUnavailable, err)
+	return errors.Join(storage.ErrUnavailable, err)
 }
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -13,7 +13,7 @@
 
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const (
@@ -88,7 +88,7 @@
 
 func (s *Server) operation(w http.ResponseWriter, r *http.Request) {
 	out, err := s.answer(r)
-	if errors.Is(err, platform.ErrUnknown) || r.Context().Err() != nil {
+	if errors.Is(err, storage.ErrUnknown) || r.Context().Err() != nil {
 		// Closes the connection without an answer.
 		panic(http.ErrAbortHandler)
 	}
@@ -110,7 +110,7 @@
 	switch {
 	case errors.As(err, &failure):
 		return failure
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return &serviceError{http.StatusBadRequest, "ConditionalCheckFailedException", "The conditional request failed"}
 	case errors.Is(err, fault.ErrThrottled):
 		return &serviceError{http.StatusBadRequest, "ProvisionedThroughputExceededException", err.Error()}
@@ -156,7 +156,7 @@
 		return response{}, err
 	}
 	row, err := s.Table.Get(r.Context(), key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return response{}, nil
 	}
 	return response{Item: writeItem(row)}, err
@@ -231,12 +231,12 @@
 	return item{"pk": i["pk"], "sk": i["sk"]}
 }
 
-func readKey(i item) (platform.Key, error) {
+func readKey(i item) (storage.Key, error) {
 	partition, sort := i["pk"].S, i["sk"].S
 	if partition == nil || sort == nil || *partition == "" || *sort == "" {
-		return platform.Key{}, invalid("key attributes pk and sk must be non-empty strings")
+		return storage.Key{}, invalid("key attributes pk and sk must be non-empty strings")
 	}
-	return platform.Key{Partition: *partition, Sort: *sort}, nil
+	return storage.Key{Partition: *partition, Sort: *sort}, nil
 }
 
 func readNumber(a attribute) (int64, error) {
@@ -263,7 +263,7 @@
 	return 0, invalid("the stand-in has no condition %q", in.ConditionExpression)
 }
 
-func writeItem(row platform.Row) item {
+func writeItem(row storage.Row) item {
 	if row.Version == 0 {
 		return nil
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Errors of leases. Errors of the table are returned wrapped.
@@ -62,7 +62,7 @@
 
 // Manager acquires leases for one instance. It is safe for concurrent use.
 type Manager struct {
-	table    platform.Table
+	table    storage.Table
 	settings Settings
 
 	mu   sync.Mutex
@@ -75,8 +75,8 @@
 	since time.Time
 }
 
-// NewManager returns a manager on the table, usually a platform.Retrying.
-func NewManager(table platform.Table, settings Settings) *Manager {
+// NewManager returns a manager on the table, usually a storage.Retrying.
+func NewManager(table storage.Table, settings Settings) *Manager {
 	if settings.Duration == 0 {
 		settings.Duration = DefaultDuration
 	}
@@ -87,7 +87,7 @@
 // clock. It returns a HeldError otherwise, so callers repeat it to observe.
 func (m *Manager) Acquire(ctx context.Context, name string) (*Lease, error) {
 	row, err := m.table.Get(ctx, rowKey(name))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return nil, fmt.Errorf("read lease %s: %w", name, err)
 	}
 	current, err := decode(row.Value)
@@ -174,7 +174,7 @@
 		return fmt.Errorf("%w: %s", ErrLost, l.name)
 	}
 	err := l.write(ctx)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, storage.ErrConflict) {
 		return wrap("renew lease", l.name, err)
 	}
 	// An earlier renewal with a lost answer may have taken effect since.
@@ -223,7 +223,7 @@
 	}
 	sent := time.Now()
 	row, err := l.manager.table.Put(ctx, rowKey(l.name), value, l.currentVersion())
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, storage.ErrUnknown) {
 		row, err = l.readBack(ctx, nonce, err)
 	}
 	if err != nil {
@@ -236,7 +236,7 @@
 	return nil
 }
 
-func (l *Lease) readBack(ctx context.Context, nonce string, unknown error) (platform.Row, error) {
+func (l *Lease) readBack(ctx context.Context, nonce string, unknown error) (storage.Row, error) {
 	row, err := l.manager.table.Get(ctx, rowKey(l.name))
 	if err != nil {
 		return row, unknown
@@ -281,8 +281,8 @@
 	return l.version
 }
 
-func rowKey(name string) platform.Key {
-	return platform.Key{Partition: partition, Sort: name}
+func rowKey(name string) storage.Key {
+	return storage.Key{Partition: partition, Sort: name}
 }
 
 func decode(value []byte) (*pb.LeaseRow, error) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,7 +11,7 @@
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
 	"github.com/basilloom/basilloom/lease"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const (
@@ -19,7 +19,7 @@
 	duration = 9 * time.Second
 )
 
-func manager(table platform.Table, holder string) *lease.Manager {
+func manager(table storage.Table, holder string) *lease.Manager {
 	return lease.NewManager(table, lease.Settings{Holder: holder, Incarnation: 1, Duration: duration})
 }
 
@@ -85,7 +85,7 @@
 		successor, _ := takeOver(t, manager(table, "b"))
 		require.False(t, paused.Valid(time.Now(), 0))
 		require.True(t, successor.Valid(time.Now(), 0))
-		require.ErrorIs(t, paused.Release(t.Context()), platform.ErrConflict)
+		require.ErrorIs(t, paused.Release(t.Context()), storage.ErrConflict)
 		require.NoError(t, successor.Renew(t.Context()), "a late release must not end the successor's lease")
 		_, _ = takeOver(t, manager(table, "c"))
 		require.ErrorIs(t, successor.Renew(t.Context()), lease.ErrLost)
@@ -116,8 +116,8 @@
 
 		time.Sleep(duration / 2)
 		table.Faults.Set(fault.Settings{LoseNext: 1, ReadsPerSecond: 1e-9})
-		_, _ = table.Get(t.Context(), platform.Key{}) // uses the only read of the limit
-		require.ErrorIs(t, held.Renew(t.Context()), platform.ErrUnknown)
+		_, _ = table.Get(t.Context(), storage.Key{}) // uses the only read of the limit
+		require.ErrorIs(t, held.Renew(t.Context()), storage.ErrUnknown)
 		require.False(t, held.Valid(time.Now(), duration/2))
 
 		table.Faults.Set(fault.Settings{})
@@ -193,8 +193,8 @@
 func TestCostOfAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := memtable.New(fault.Settings{})
-		holder := platform.NewRetrying(table, platform.RetrySettings{})
-		observer := platform.NewRetrying(table, platform.RetrySettings{})
+		holder := storage.NewRetrying(table, storage.RetrySettings{})
+		observer := storage.NewRetrying(table, storage.RetrySettings{})
 		// Ends between two renewals, so that no write is cut by the end.
 		ctx, cancel := context.WithTimeout(t.Context(), time.Hour-time.Second)
 		defer cancel()
@@ -205,7 +205,7 @@
 		_ = lease.NewManager(holder, lease.Settings{Holder: "a"}).Run(ctx, name, func(ctx context.Context, _ *lease.Lease) { <-ctx.Done() })
 		synctest.Wait()
 		t.Logf("holder %+v, observer %+v", holder.Stats(), observer.Stats())
-		require.Equal(t, platform.Stats{Reads: 1, Writes: 721}, holder.Stats())
+		require.Equal(t, storage.Stats{Reads: 1, Writes: 721}, holder.Stats())
 		require.LessOrEqual(t, observer.Stats().Reads, int64(721))
 	})
 }
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -13,12 +13,12 @@
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
 	"github.com/basilloom/basilloom/lease"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // lateTable lets a write take effect long after its caller was told ErrUnknown.
 type lateTable struct {
-	platform.Table
+	storage.Table
 	pending sync.WaitGroup
 	mu      sync.Mutex
 	delay   time.Duration
@@ -30,7 +30,7 @@
 	l.delay = delay
 }
 
-func (l *lateTable) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (l *lateTable) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	l.mu.Lock()
 	delay := l.delay
 	l.mu.Unlock()
@@ -41,7 +41,7 @@
 		time.Sleep(delay)
 		_, _ = l.Table.Put(context.Background(), key, value, expect)
 	})
-	return platform.Row{}, platform.ErrUnknown
+	return storage.Row{}, storage.ErrUnknown
 }
 
 type step struct {
@@ -151,9 +151,9 @@
 func simulate(t *testing.T, actors [][]step, faults []episode, settled bool, r *record) {
 	inner := memtable.New(fault.Settings{Unlimited: true})
 	table := &lateTable{Table: inner}
-	var shared platform.Table = table
+	var shared storage.Table = table
 	if settled {
-		shared = platform.NewRetrying(table, platform.RetrySettings{AttemptTimeout: 5 * time.Second, Deadline: 20 * time.Second})
+		shared = storage.NewRetrying(table, storage.RetrySettings{AttemptTimeout: 5 * time.Second, Deadline: 20 * time.Second})
 	}
 	var running sync.WaitGroup
 	for i, list := range actors {
--- a/membership/exchanger.go
+++ b/membership/exchanger.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Timing and bounds of the exchange.
@@ -63,7 +63,7 @@
 type Options struct {
 	Self      Instance
 	Transport Transport
-	List      platform.InstanceList // nil: none
+	List      storage.InstanceList // nil: none
 	Rand      *rand.Rand
 	Logger    *zap.Logger // nil: none
 }
@@ -91,7 +91,7 @@
 // drives it; all other methods are safe for concurrent use.
 type Exchanger struct {
 	transport Transport
-	list      platform.InstanceList
+	list      storage.InstanceList
 	logger    *zap.Logger
 	wake      chan struct{}      // holds one token while urgent records wait
 	calls     chan struct{}      // bounds concurrent outgoing calls
--- a/membership/exchanger_test.go
+++ b/membership/exchanger_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -23,7 +23,7 @@
 // against a list that lacks a new instance or still holds a dead one.
 func TestStartFromLaggingList(t *testing.T) {
 	within(t, 1, func(t *testing.T, f *fleet) {
-		f.list = []platform.InstanceRecord{{Name: "instance-000", Address: "10.0.0.1:7000"}, {Name: "gone", Address: "10.9.9.9:7000"}}
+		f.list = []storage.InstanceRecord{{Name: "instance-000", Address: "10.0.0.1:7000"}, {Name: "gone", Address: "10.9.9.9:7000"}}
 		var members []*member
 		for i := range 9 {
 			members = append(members, f.start(i, 1))
@@ -116,7 +116,7 @@
 		members := []*member{f.start(0, 1), f.start(1, 1)}
 		time.Sleep(500 * time.Millisecond)
 		f.locked(func() {
-			f.list = []platform.InstanceRecord{{Name: members[0].self.Name, Address: members[0].self.Address}}
+			f.list = []storage.InstanceRecord{{Name: members[0].self.Name, Address: members[0].self.Address}}
 		})
 		took, ok := timeUntil(20*time.Second, func() bool { return agree(members) })
 		require.True(t, ok)
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // fleet connects Exchangers in memory inside one synctest bubble. All accesses
@@ -24,7 +24,7 @@
 	mu        chan struct{} // a mutex that synctest treats as a durable block
 	rng       *rand.Rand
 	members   map[string]*member // by address
-	list      []platform.InstanceRecord
+	list      []storage.InstanceRecord
 	listErr   error
 	loss      float64
 	cut       bool // regions "a" and "b" do not reach each other
@@ -61,8 +61,8 @@
 	do()
 }
 
-// List implements platform.InstanceList.
-func (f *fleet) List(context.Context) (list []platform.InstanceRecord, err error) {
+// List implements storage.InstanceList.
+func (f *fleet) List(context.Context) (list []storage.InstanceRecord, err error) {
 	f.locked(func() { list, err = f.list, f.listErr })
 	return list, err
 }
@@ -138,7 +138,7 @@
 	for i := range members {
 		members[i] = f.start(i, 1)
 		self := members[i].self
-		item := platform.InstanceRecord{Name: self.Name, Address: self.Address, Region: self.Region}
+		item := storage.InstanceRecord{Name: self.Name, Address: self.Address, Region: self.Region}
 		f.locked(func() { f.list = append(f.list, item) })
 	}
 	for _, m := range members {
--- a/membership/view.go
+++ b/membership/view.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Times of the view.
@@ -37,7 +37,7 @@
 type View struct {
 	self    Record
 	entries map[string]*entry
-	listed  map[string]platform.InstanceRecord
+	listed  map[string]storage.InstanceRecord
 	live    []Instance
 	scores  []uint64 // name hashes of live, in the same order
 	hash    uint64
@@ -50,7 +50,7 @@
 	v := &View{
 		self:    Record{Instance: self, State: StateLive},
 		entries: map[string]*entry{},
-		listed:  map[string]platform.InstanceRecord{},
+		listed:  map[string]storage.InstanceRecord{},
 	}
 	v.add(v.self, now)
 	return v
@@ -140,7 +140,7 @@
 // MergeList takes in the platform's list. The list lags, so it only names
 // instances to contact, and confirms suspicions of instances that it shows as
 // leaving. It never makes an instance live.
-func (v *View) MergeList(list []platform.InstanceRecord, now time.Time) []string {
+func (v *View) MergeList(list []storage.InstanceRecord, now time.Time) []string {
 	clear(v.listed)
 	var changed []string
 	for _, item := range list {
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 func at(name string, incarnation uint64) Instance {
@@ -67,7 +67,7 @@
 	v.Merge(record("unlisted", 1, StateLive, 0), now)
 	v.Suspect("dead", 1, now)
 	v.Tick(now.Add(time.Minute))
-	list := []platform.InstanceRecord{{Name: "dead", Address: "dead"}, {Name: "unseen", Address: "u"}}
+	list := []storage.InstanceRecord{{Name: "dead", Address: "dead"}, {Name: "unseen", Address: "u"}}
 	v.MergeList(list, now.Add(time.Minute))
 	require.Equal(t, []Instance{at("self", 1), at("unlisted", 1)}, v.Live())
 	require.Equal(t, []string{"dead", "unseen"}, names(v.Unreached()))
@@ -82,7 +82,7 @@
 	require.False(t, v.Merge(record("dead", 1, StateDead, 0), late), "a dropped entry must not circulate")
 
 	v.Suspect("unlisted", 1, late)
-	v.MergeList([]platform.InstanceRecord{{Name: "unlisted", Leaving: true}}, late)
+	v.MergeList([]storage.InstanceRecord{{Name: "unlisted", Leaving: true}}, late)
 	require.Len(t, v.Live(), 1, "the list confirms a suspicion")
 }
 
--- a/platform/adapters_test.go
+++ b/storage/adapters_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"bytes"
@@ -17,16 +17,16 @@
 	"github.com/basilloom/basilloom/internal/standin/instances"
 	"github.com/basilloom/basilloom/internal/standin/objects"
 	"github.com/basilloom/basilloom/internal/standin/table"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
-var testKey = platform.Key{Partition: "p/a", Sort: "row"}
+var testKey = storage.Key{Partition: "p/a", Sort: "row"}
 
-func dynamo(endpoint string) *platform.DynamoDB {
-	return platform.NewDynamoDB(platform.ServiceSettings{Endpoint: endpoint, Region: "local", AccessKey: "a", SecretKey: "s"}, "rows")
+func dynamo(endpoint string) *storage.DynamoDB {
+	return storage.NewDynamoDB(storage.ServiceSettings{Endpoint: endpoint, Region: "local", AccessKey: "a", SecretKey: "s"}, "rows")
 }
 
-func startTable(t *testing.T) (*platform.DynamoDB, *table.Server, string) {
+func startTable(t *testing.T) (*storage.DynamoDB, *table.Server, string) {
 	service := table.New("rows", fault.Settings{})
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
@@ -39,21 +39,21 @@
 	ctx := t.Context()
 	db, _, _ := startTable(t)
 	_, err := db.Get(ctx, testKey)
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, storage.ErrNotFound)
 	_, err = db.Put(ctx, testKey, []byte("one"), 0)
 	require.NoError(t, err)
 	_, err = db.Put(ctx, testKey, []byte("two"), 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, storage.ErrConflict)
 	_, err = db.Put(ctx, testKey, []byte("two"), 1)
 	require.NoError(t, err)
 	_, err = db.Put(ctx, testKey, []byte("three"), 1)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, storage.ErrConflict)
 	row, err := db.Get(ctx, testKey)
 	require.NoError(t, err)
-	require.Equal(t, platform.Row{Key: testKey, Version: 2, Value: []byte("two")}, row)
-	require.ErrorIs(t, db.Delete(ctx, testKey, 1), platform.ErrConflict)
+	require.Equal(t, storage.Row{Key: testKey, Version: 2, Value: []byte("two")}, row)
+	require.ErrorIs(t, db.Delete(ctx, testKey, 1), storage.ErrConflict)
 	require.NoError(t, db.Delete(ctx, testKey, 2))
-	require.ErrorIs(t, db.Delete(ctx, testKey, 2), platform.ErrConflict)
+	require.ErrorIs(t, db.Delete(ctx, testKey, 2), storage.ErrConflict)
 }
 
 // Guards against a list that ends at the service's page limit of 1 MiB.
@@ -61,7 +61,7 @@
 	db, _, _ := startTable(t)
 	value := bytes.Repeat([]byte("x"), 300<<10)
 	for i := range 9 {
-		_, err := db.Put(t.Context(), platform.Key{Partition: "p", Sort: fmt.Sprint(i)}, value, 0)
+		_, err := db.Put(t.Context(), storage.Key{Partition: "p", Sort: fmt.Sprint(i)}, value, 0)
 		require.NoError(t, err)
 	}
 	rows, err := db.List(t.Context(), "p")
@@ -80,20 +80,20 @@
 		want    error
 		written bool
 	}{
-		{"answer lost", fault.Settings{LoseNext: 1}, time.Second, platform.ErrUnknown, true},
-		{"time-out after the effect", fault.Settings{LatencyMillis: 400}, 300 * time.Millisecond, platform.ErrUnknown, true},
-		{"status 503", fault.Settings{Outage: true}, time.Second, platform.ErrUnknown, false},
-		{"throttled", fault.Settings{WritesPerSecond: 1e-9}, time.Second, platform.ErrUnavailable, false},
+		{"answer lost", fault.Settings{LoseNext: 1}, time.Second, storage.ErrUnknown, true},
+		{"time-out after the effect", fault.Settings{LatencyMillis: 400}, 300 * time.Millisecond, storage.ErrUnknown, true},
+		{"status 503", fault.Settings{Outage: true}, time.Second, storage.ErrUnknown, false},
+		{"throttled", fault.Settings{WritesPerSecond: 1e-9}, time.Second, storage.ErrUnavailable, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			db, service, _ := startTable(t)
 			// The write reuses this read's connection: net/http could replay it there.
 			_, err := db.Get(t.Context(), testKey)
-			require.ErrorIs(t, err, platform.ErrNotFound)
+			require.ErrorIs(t, err, storage.ErrNotFound)
 			service.Table.Faults.Set(test.faults)
-			if errors.Is(test.want, platform.ErrUnavailable) {
-				_, err := service.Table.Put(t.Context(), platform.Key{Partition: "x", Sort: "x"}, nil, 0)
+			if errors.Is(test.want, storage.ErrUnavailable) {
+				_, err := service.Table.Put(t.Context(), storage.Key{Partition: "x", Sort: "x"}, nil, 0)
 				require.NoError(t, err, "uses the only write of the limit")
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
@@ -116,8 +116,8 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := dynamo(server.URL).Put(t.Context(), testKey, nil, 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
-	require.NotErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
+	require.NotErrorIs(t, err, storage.ErrUnknown)
 }
 
 // Guards against a stand-in that silently accepts what it does not implement.
@@ -140,7 +140,7 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusNoContent, resp.StatusCode)
 	_, err = db.Get(t.Context(), testKey)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against objects that cannot be read back and wrong error mapping.
@@ -148,18 +148,18 @@
 	service := objects.New("bucket", fault.Settings{})
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	store := platform.NewS3(platform.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}, "bucket")
+	store := storage.NewS3(storage.ServiceSettings{Endpoint: server.URL, Region: "local", AccessKey: "a", SecretKey: "s"}, "bucket")
 	_, err := store.Get(t.Context(), "hash")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, storage.ErrNotFound)
 	service.Faults.Set(fault.Settings{LoseNext: 1})
-	require.ErrorIs(t, store.Put(t.Context(), "hash", []byte("content")), platform.ErrUnknown)
+	require.ErrorIs(t, store.Put(t.Context(), "hash", []byte("content")), storage.ErrUnknown)
 	require.NoError(t, store.Put(t.Context(), "hash", []byte("content")))
 	data, err := store.Get(t.Context(), "hash")
 	require.NoError(t, err)
 	require.Equal(t, "content", string(data))
 	service.Faults.Set(fault.Settings{Outage: true})
 	_, err = store.Get(t.Context(), "hash")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against a list without the configured lag or with lost fields.
@@ -167,8 +167,8 @@
 	service := instances.New(0, fault.Settings{})
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	list := platform.NewHTTPInstanceList(server.URL + "/instances")
-	first := []platform.InstanceRecord{{Name: "i-1", Address: "127.0.0.1:1", Region: "r", Zone: "z"}}
+	list := storage.NewHTTPInstanceList(server.URL + "/instances")
+	first := []storage.InstanceRecord{{Name: "i-1", Address: "127.0.0.1:1", Region: "r", Zone: "z"}}
 	service.Set(first)
 	service.SetLag(time.Hour)
 	service.Set(nil)
@@ -177,5 +177,5 @@
 	require.Equal(t, first, got)
 	service.Faults.Set(fault.Settings{Outage: true})
 	_, err = list.List(t.Context())
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 }
--- a/platform/dynamodb.go
+++ b/storage/dynamodb.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/storage/platform.go
@@ -1,6 +1,6 @@
-// Package platform defines what basilloom uses of the platform that it runs on:
+// Package storage defines what basilloom uses of the platform that it runs on:
 // the transactional table service, the object store and the list of instances.
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/retrying_test.go
+++ b/storage/retrying_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -10,21 +10,21 @@
 
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // hooked runs a function after each write and returns its error.
 type hooked struct {
-	platform.Table
+	storage.Table
 	after func(err error) error
 }
 
-func (h hooked) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (h hooked) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	row, err := h.Table.Put(ctx, key, value, expect)
 	return row, h.after(err)
 }
 
-func (h hooked) Delete(ctx context.Context, key platform.Key, expect int64) error {
+func (h hooked) Delete(ctx context.Context, key storage.Key, expect int64) error {
 	return h.after(h.Table.Delete(ctx, key, expect))
 }
 
@@ -32,11 +32,11 @@
 func TestSettledResolvesLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := memtable.New(fault.Settings{LoseNext: 1})
-		settled := platform.NewRetrying(inner, platform.RetrySettings{})
+		settled := storage.NewRetrying(inner, storage.RetrySettings{})
 		row, err := settled.Put(t.Context(), testKey, []byte("nonce-a"), 0)
 		require.NoError(t, err)
 		require.EqualValues(t, 1, row.Version)
-		require.Equal(t, platform.Stats{Reads: 1, Writes: 1, ReadBacks: 1}, settled.Stats())
+		require.Equal(t, storage.Stats{Reads: 1, Writes: 1, ReadBacks: 1}, settled.Stats())
 		inner.Faults.Set(fault.Settings{LoseNext: 1})
 		require.NoError(t, settled.Delete(t.Context(), testKey, 1))
 	})
@@ -49,9 +49,9 @@
 		inner := memtable.New(fault.Settings{})
 		_, err := inner.Put(t.Context(), testKey, []byte("nonce-b"), 0)
 		require.NoError(t, err)
-		lossy := hooked{inner, func(error) error { return platform.ErrUnknown }}
-		_, err = platform.NewRetrying(lossy, platform.RetrySettings{}).Put(t.Context(), testKey, []byte("nonce-a"), 0)
-		require.ErrorIs(t, err, platform.ErrConflict)
+		lossy := hooked{inner, func(error) error { return storage.ErrUnknown }}
+		_, err = storage.NewRetrying(lossy, storage.RetrySettings{}).Put(t.Context(), testKey, []byte("nonce-a"), 0)
+		require.ErrorIs(t, err, storage.ErrConflict)
 	})
 }
 
@@ -62,10 +62,10 @@
 		lossy := hooked{inner, func(error) error {
 			_, err := inner.Put(context.Background(), testKey, []byte("nonce-b"), 1)
 			require.NoError(t, err)
-			return platform.ErrUnknown
+			return storage.ErrUnknown
 		}}
-		_, err := platform.NewRetrying(lossy, platform.RetrySettings{}).Put(t.Context(), testKey, []byte("nonce-a"), 0)
-		require.ErrorIs(t, err, platform.ErrUnknown)
+		_, err := storage.NewRetrying(lossy, storage.RetrySettings{}).Put(t.Context(), testKey, []byte("nonce-a"), 0)
+		require.ErrorIs(t, err, storage.ErrUnknown)
 	})
 }
 
@@ -83,10 +83,10 @@
 				_, err = inner.Put(context.Background(), testKey, []byte("nonce-b"), 0)
 				require.NoError(t, err)
 			}
-			return platform.ErrUnknown
+			return storage.ErrUnknown
 		}}
-		err = platform.NewRetrying(lossy, platform.RetrySettings{}).Delete(t.Context(), testKey, 1)
-		require.ErrorIs(t, err, platform.ErrUnknown)
+		err = storage.NewRetrying(lossy, storage.RetrySettings{}).Delete(t.Context(), testKey, 1)
+		require.ErrorIs(t, err, storage.ErrUnknown)
 		row, err := inner.Get(t.Context(), testKey)
 		require.NoError(t, err)
 		require.Equal(t, "nonce-b", string(row.Value))
@@ -98,22 +98,22 @@
 func TestSettledOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := memtable.New(fault.Settings{Outage: true})
-		settled := platform.NewRetrying(inner, platform.RetrySettings{})
+		settled := storage.NewRetrying(inner, storage.RetrySettings{})
 		start := time.Now()
 		_, err := settled.Put(t.Context(), testKey, []byte("nonce-a"), 0)
-		require.ErrorIs(t, err, platform.ErrUnavailable)
-		require.NotErrorIs(t, err, platform.ErrUnknown)
+		require.ErrorIs(t, err, storage.ErrUnavailable)
+		require.NotErrorIs(t, err, storage.ErrUnknown)
 		require.LessOrEqual(t, time.Since(start), 2*time.Second)
 
 		inner.Faults.Set(fault.Settings{})
 		broken := hooked{inner, func(error) error {
 			inner.Faults.Set(fault.Settings{Outage: true})
-			return platform.ErrUnknown
+			return storage.ErrUnknown
 		}}
-		settled = platform.NewRetrying(broken, platform.RetrySettings{})
+		settled = storage.NewRetrying(broken, storage.RetrySettings{})
 		_, err = settled.Put(t.Context(), testKey, []byte("nonce-a"), 0)
-		require.ErrorIs(t, err, platform.ErrUnknown)
-		require.NotErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, storage.ErrUnknown)
+		require.NotErrorIs(t, err, storage.ErrUnavailable)
 		require.EqualValues(t, 1, settled.Stats().Unknown)
 	})
 }
@@ -121,12 +121,12 @@
 // Guards against a retry storm: the calls of an outage share one retry budget.
 func TestSettledRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		settled := platform.NewRetrying(memtable.New(fault.Settings{Outage: true}), platform.RetrySettings{RetryBurst: 3, RetriesPerSecond: 0.001})
+		settled := storage.NewRetrying(memtable.New(fault.Settings{Outage: true}), storage.RetrySettings{RetryBurst: 3, RetriesPerSecond: 0.001})
 		for range 50 {
 			_, err := settled.Get(t.Context(), testKey)
-			require.ErrorIs(t, err, platform.ErrUnavailable)
+			require.ErrorIs(t, err, storage.ErrUnavailable)
 		}
-		require.Equal(t, platform.Stats{Reads: 53, Retries: 3}, settled.Stats())
+		require.Equal(t, storage.Stats{Reads: 53, Retries: 3}, settled.Stats())
 	})
 }
 
@@ -134,7 +134,7 @@
 func TestSettledWriteRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := memtable.New(fault.Settings{})
-		settled := platform.NewRetrying(inner, platform.RetrySettings{WritesPerSecond: 10, WriteBurst: 1})
+		settled := storage.NewRetrying(inner, storage.RetrySettings{WritesPerSecond: 10, WriteBurst: 1})
 		start := time.Now()
 		for version := range int64(11) {
 			_, err := settled.Put(t.Context(), testKey, []byte("v"), version)
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // instance is a running basilloomd.
@@ -106,7 +106,7 @@
 // publishList gives the platform's list the running instances.
 func (f *fleet) publishList(t *testing.T) {
 	t.Helper()
-	var records []platform.InstanceRecord
+	var records []storage.InstanceRecord
 	for _, i := range f.instances {
 		select {
 		case <-i.done:
@@ -117,7 +117,7 @@
 		if i.advertise != "" {
 			address = i.advertise
 		}
-		records = append(records, platform.InstanceRecord{Name: i.name, Address: address, Region: i.region, Zone: i.region + "-a"})
+		records = append(records, storage.InstanceRecord{Name: i.name, Address: address, Region: i.region, Zone: i.region + "-a"})
 	}
 	data, err := json.Marshal(records)
 	require.NoError(t, err)
--- a/test/fuzz/gossip_test.go
+++ b/test/fuzz/gossip_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/basilloom/basilloom/membership"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // Times of the exchange between instances.
@@ -116,9 +116,9 @@
 
 // readList reads the platform's list of instances.
 func (in *instance) readList() {
-	var list []platform.InstanceRecord
+	var list []storage.InstanceRecord
 	for _, other := range in.world.instances {
-		list = append(list, platform.InstanceRecord{Name: other.name, Address: other.name, Region: other.region})
+		list = append(list, storage.InstanceRecord{Name: other.name, Address: other.name, Region: other.region})
 	}
 	in.view.MergeList(list, time.Now())
 }
--- a/test/fuzz/instance_test.go
+++ b/test/fuzz/instance_test.go
@@ -13,7 +13,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/lease"
 	"github.com/basilloom/basilloom/membership"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // leaseName is the lease that all instances compete for.
@@ -154,7 +154,7 @@
 		}
 	})
 	if !answered {
-		return 0, "", platform.ErrUnavailable
+		return 0, "", storage.ErrUnavailable
 	}
 	return generation, hash, nil
 }
@@ -167,7 +167,7 @@
 		}
 	})
 	if c == nil {
-		return "", nil, platform.ErrNotFound
+		return "", nil, storage.ErrNotFound
 	}
 	return hash, c, nil
 }
--- a/test/fuzz/platform_test.go
+++ b/test/fuzz/platform_test.go
@@ -13,7 +13,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/internal/standin/memtable"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // storeRegion is the region of the table service and the object store.
@@ -59,40 +59,40 @@
 	hung := p.hang.Load() || (a.in != nil && !a.in.running.Load())
 	if a.blocking && hung {
 		<-ctx.Done()
-		return fmt.Errorf("%w: timeout", platform.ErrUnavailable)
+		return fmt.Errorf("%w: timeout", storage.ErrUnavailable)
 	}
 	if hung || p.outage.Load() || (a.in != nil && !a.world.network.reaches(a.in, storeRegion)) {
-		return fmt.Errorf("%w: injected", platform.ErrUnavailable)
+		return fmt.Errorf("%w: injected", storage.ErrUnavailable)
 	}
 	return nil
 }
 
-// tableAccess implements platform.Table.
+// tableAccess implements storage.Table.
 type tableAccess struct{ access }
 
-// Get implements platform.Table.
-func (a tableAccess) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+// Get implements storage.Table.
+func (a tableAccess) Get(ctx context.Context, key storage.Key) (storage.Row, error) {
 	if err := a.check(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return a.world.platform.table.Get(ctx, key)
 }
 
-// List implements platform.Table.
-func (a tableAccess) List(ctx context.Context, partition string) ([]platform.Row, error) {
+// List implements storage.Table.
+func (a tableAccess) List(ctx context.Context, partition string) ([]storage.Row, error) {
 	if err := a.check(ctx); err != nil {
 		return nil, err
 	}
 	return a.world.platform.table.List(ctx, partition)
 }
 
-// Put implements platform.Table. The answer is lost while the platform loses
+// Put implements storage.Table. The answer is lost while the platform loses
 // answers: the write takes effect at once, later or never.
-func (a tableAccess) Put(ctx context.Context, key platform.Key, value []byte, expect int64) (platform.Row, error) {
+func (a tableAccess) Put(ctx context.Context, key storage.Key, value []byte, expect int64) (storage.Row, error) {
 	if err := a.check(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
-	put := func() (platform.Row, error) {
+	put := func() (storage.Row, error) {
 		row, err := a.world.platform.table.Put(a.world.ctx, key, value, expect)
 		if err == nil && key == config.GenerationKey {
 			a.world.oracle.accepted(generationOf(value))
@@ -100,19 +100,19 @@
 		return row, err
 	}
 	if a.loseAnswer(func() { _, _ = put() }) {
-		return platform.Row{}, fmt.Errorf("%w: injected", platform.ErrUnknown)
+		return storage.Row{}, fmt.Errorf("%w: injected", storage.ErrUnknown)
 	}
 	return put()
 }
 
-// Delete implements platform.Table.
-func (a tableAccess) Delete(ctx context.Context, key platform.Key, expect int64) error {
+// Delete implements storage.Table.
+func (a tableAccess) Delete(ctx context.Context, key storage.Key, expect int64) error {
 	if err := a.check(ctx); err != nil {
 		return err
 	}
 	remove := func() error { return a.world.platform.table.Delete(a.world.ctx, key, expect) }
 	if a.loseAnswer(func() { _ = remove() }) {
-		return fmt.Errorf("%w: injected", platform.ErrUnknown)
+		return fmt.Errorf("%w: injected", storage.ErrUnknown)
 	}
 	return remove()
 }
@@ -140,10 +140,10 @@
 	return row
 }
 
-// objectAccess implements platform.ObjectStore.
+// objectAccess implements storage.ObjectStore.
 type objectAccess struct{ access }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (a objectAccess) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := a.check(ctx); err != nil {
 		return nil, err
@@ -153,12 +153,12 @@
 	defer objects.mu.Unlock()
 	data, ok := objects.content[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return data, nil
 }
 
-// Put implements platform.ObjectStore.
+// Put implements storage.ObjectStore.
 func (a objectAccess) Put(ctx context.Context, name string, data []byte) error {
 	if err := a.check(ctx); err != nil {
 		return err
--- a/test/golden/objects_test.go
+++ b/test/golden/objects_test.go
@@ -3,23 +3,23 @@
 import (
 	"context"
 
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // objects keeps content in the session's table, so that it shares its outages.
 type objects struct{ s *session }
 
-func newObjects(s *session) platform.ObjectStore { return objects{s} }
+func newObjects(s *session) storage.ObjectStore { return objects{s} }
 
-func objectKey(name string) platform.Key { return platform.Key{Partition: "objects", Sort: name} }
+func objectKey(name string) storage.Key { return storage.Key{Partition: "objects", Sort: name} }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
 	row, err := o.s.table.Get(ctx, objectKey(name))
 	return row.Value, err
 }
 
-// Put implements platform.ObjectStore. Content that is there already stays.
+// Put implements storage.ObjectStore. Content that is there already stays.
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
 	if _, err := o.s.table.Get(ctx, objectKey(name)); err == nil {
 		return nil
--- a/test/golden/operator_test.go
+++ b/test/golden/operator_test.go
@@ -19,7 +19,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/standin/fault"
 	"github.com/basilloom/basilloom/lease"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 // operatorsDay is a day of the operators of one deployment.
@@ -245,14 +245,14 @@
 
 // cutTable is a follower's way to the table.
 type cutTable struct {
-	platform.Table
+	storage.Table
 	f *follower
 }
 
 // Get fails while the follower is cut off.
-func (c cutTable) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (c cutTable) Get(ctx context.Context, key storage.Key) (storage.Row, error) {
 	if c.f.cut.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return c.Table.Get(ctx, key)
 }
--- a/test/scale/main.go
+++ b/test/scale/main.go
@@ -27,7 +27,7 @@
 	"github.com/basilloom/basilloom/internal/standin/instances"
 	"github.com/basilloom/basilloom/internal/standin/objects"
 	"github.com/basilloom/basilloom/internal/standin/table"
-	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/storage"
 )
 
 const (
@@ -159,10 +159,10 @@
 	}
 }
 
-func records(fleet []*instance) []platform.InstanceRecord {
-	var all []platform.InstanceRecord
+func records(fleet []*instance) []storage.InstanceRecord {
+	var all []storage.InstanceRecord
 	for _, i := range fleet {
-		all = append(all, platform.InstanceRecord{Name: i.name, Address: i.peers, Region: "west", Zone: "west-a"})
+		all = append(all, storage.InstanceRecord{Name: i.name, Address: i.peers, Region: "west", Zone: "west-a"})
 	}
 	return all
 }
