platform: adapter, routing, forwarding and gateway; first thin path

The users' platform needs routing by host and prefix, requests passed on unchanged, keys, quotas in tokens and a registry that lags. The parts are packages of the product; platform/ translates headers, the configuration, the registry, the store's calls and the settings. Each entry decides alone with a scheduler.Group for each service; sharing between instances follows. Not measured yet.

--- a/cmd/basilloomd/main.go
+++ b/cmd/basilloomd/main.go
@@ -13,23 +13,62 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/internal/daemon"
+	"github.com/basilloom/basilloom/internal/instance"
+	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/telemetry"
 )
 
 const traceFlushTimeout = 5 * time.Second
 
+// exitSettings is the exit code of settings that cannot be used.
+const exitSettings = 2
+
+type commands struct {
+	Serve    daemon.Settings `cmd:"" default:"withargs" help:"Serve with the project's own configuration (default)."`
+	Platform platformCommand `cmd:"" help:"Serve the users' platform with its settings file."`
+}
+
+type platformCommand struct {
+	SettingsFile string `env:"BASILLOOM_BOOT" help:"Path of the platform's settings file."`
+	LogLevel     string `default:"info" env:"BASILLOOM_LOG_LEVEL" help:"Least level that is logged."`
+}
+
 func main() {
-	var settings daemon.Settings
-	kong.Parse(&settings,
+	var chosen commands
+	parsed := kong.Parse(&chosen,
 		kong.Name("basilloomd"),
 		kong.Description("Schedules requests over model engines and plain services."))
-	if err := run(settings); err != nil {
+	run := func() error { return serve(chosen.Serve) }
+	if parsed.Command() == "platform" {
+		run = func() error { return servePlatform(chosen.Platform) }
+	}
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "basilloomd:", err)
 		os.Exit(1)
 	}
 }
 
-func run(settings daemon.Settings) error {
+func servePlatform(command platformCommand) error {
+	settings, err := platform.LoadSettings(command.SettingsFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "basilloomd:", err)
+		os.Exit(exitSettings)
+	}
+	log, closeLog, err := telemetry.NewDecisionLogger(command.LogLevel, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	i, err := instance.New(settings, log.With(zap.String("instance", settings.Instance)))
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
+
+func serve(settings daemon.Settings) error {
 	log, err := telemetry.NewLogger(settings.LogLevel)
 	if err != nil {
 		return err
--- /dev/null
+++ b/forward/pool.go
@@ -0,0 +1,259 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Times and sizes of connections.
+const (
+	// dialTimeout bounds the establishment of a connection. The farthest target is
+	// some 25 ms away; a target that is slower is down or its packets were lost,
+	// and another one serves the request sooner.
+	dialTimeout = 400 * time.Millisecond
+	// defaultKeep is how long an idle connection is kept if the target states no timeout.
+	defaultKeep = 4 * time.Second
+	// keepShare is the part of a stated timeout for which a connection is used, so
+	// that few requests meet a connection that the target is closing.
+	keepShare = 0.7
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 24
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout   = 3 * time.Second
+	readBufferLen = 4 << 10
+)
+
+// Target names one start of a target.
+type Target struct {
+	ID      string
+	Born    int64
+	Address string
+}
+
+// Stats counts connections since the start.
+type Stats struct {
+	Opened, Reused, Stale int64
+}
+
+// Pool holds the idle connections to targets.
+type Pool struct {
+	dialer net.Dialer
+
+	opened, reused, stale atomic.Int64
+
+	mu     sync.Mutex
+	idle   map[Target][]*conn
+	closed bool
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	p := &Pool{idle: make(map[Target][]*conn)}
+	p.dialer.Timeout = dialTimeout
+	p.dialer.KeepAlive = -1
+	p.dialer.Control = setUserTimeout
+	return p
+}
+
+// tcpUserTimeout is the option number of TCP_USER_TIMEOUT on Linux.
+const tcpUserTimeout = 0x12
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
+
+// Stats returns the counters.
+func (p *Pool) Stats() Stats {
+	return Stats{Opened: p.opened.Load(), Reused: p.reused.Load(), Stale: p.stale.Load()}
+}
+
+// conn is a connection to a target. One request uses it at a time.
+type conn struct {
+	net.Conn
+	target Target
+	reader *bufio.Reader
+	// wrote is set before the first byte of the current request is written.
+	wrote bool
+	// writing gets the result of a body that is written beside the reading; nil without one.
+	writing chan error
+	expires time.Time
+}
+
+func (c *conn) abort() { _ = c.Close() } // the request's outcome is known already
+
+// written tells whether the whole request has been written.
+func (c *conn) written() bool {
+	if c.writing == nil {
+		return true
+	}
+	select {
+	case err := <-c.writing:
+		c.writing = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, target Target) (*conn, error) {
+	for {
+		c := p.take(target)
+		if c == nil {
+			break
+		}
+		if c.isClean() {
+			p.reused.Add(1)
+			c.wrote = false
+			return c, nil
+		}
+		p.stale.Add(1)
+		c.abort()
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.opened.Add(1)
+	return &conn{Conn: opened, target: target, reader: bufio.NewReaderSize(opened, readBufferLen)}, nil
+}
+
+// take removes the idle connection that was used last.
+func (p *Pool) take(target Target) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[target]
+	now := time.Now()
+	for len(idle) > 0 {
+		c := idle[len(idle)-1]
+		idle = idle[:len(idle)-1]
+		p.setIdle(target, idle)
+		if now.Before(c.expires) {
+			return c
+		}
+		c.abort()
+	}
+	return nil
+}
+
+func (p *Pool) setIdle(target Target, idle []*conn) {
+	if len(idle) == 0 {
+		delete(p.idle, target)
+		return
+	}
+	p.idle[target] = idle
+}
+
+// isClean tells whether the connection is open and nothing waits on it. Bytes
+// that arrived after the last answer belong to no request.
+func (c *conn) isClean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(peekErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+func (p *Pool) put(c *conn, keep time.Duration) {
+	c.expires = time.Now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || keep <= 0 || len(p.idle[c.target]) >= maxIdle {
+		c.abort()
+		return
+	}
+	p.idle[c.target] = append(p.idle[c.target], c)
+}
+
+// Prune closes the connections that have been idle for too long.
+func (p *Pool) Prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for target, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+			} else {
+				c.abort()
+			}
+		}
+		clear(idle[len(kept):])
+		p.setIdle(target, kept)
+	}
+}
+
+// Drop closes the idle connections to a target that broke one.
+func (p *Pool) Drop(target Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[target] {
+		c.abort()
+	}
+	delete(p.idle, target)
+}
+
+// Close closes all idle connections. Connections in use are closed after their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	targets := make([]Target, 0, len(p.idle))
+	for target := range p.idle {
+		targets = append(targets, target)
+	}
+	p.mu.Unlock()
+	for _, target := range targets {
+		p.Drop(target)
+	}
+}
+
+// Refuses tells whether nothing listens at the target's address, as after a crash.
+func (p *Pool) Refuses(ctx context.Context, target Target) bool {
+	probe, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = probe.Close() // it was opened only to see whether the target listens
+	return false
+}
+
+// keepAlive returns how long a connection may stay idle according to the answer.
+func keepAlive(h http.Header) time.Duration {
+	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return time.Duration(keepShare * float64(n) * float64(time.Second))
+		}
+	}
+	return defaultKeep
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/routing"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// Defaults for what a configuration leaves unset.
+const (
+	defaultMaxBody   = 4 << 20
+	defaultTimeout   = 30 * time.Second
+	defaultObjective = time.Second
+	// timeoutGrace is how long past the timeout a target's own answer is waited for.
+	timeoutGrace = 100 * time.Millisecond
+	// notReadyRetry is when a caller should ask an instance again that has no configuration yet.
+	notReadyRetry = time.Second
+)
+
+// request is an admitted request.
+type request struct {
+	call    Call
+	arrived time.Time
+	// deadline is when the caller or the route's timeout gives up.
+	deadline  time.Time
+	route     *routing.Route
+	service   *routing.Service
+	workspace *routing.Workspace
+	tier      int
+	header    http.Header
+	method    string
+	uri       string
+	host      string
+	body      []byte
+	cost      float64
+	// fingerprint identifies the request across repeated sends of a caller.
+	fingerprint uint64
+	// sends counts the sends of which a target may have read a byte.
+	sends int
+	// ran is set once a target may have run the request.
+	ran bool
+	// tried lists the targets of earlier sends.
+	tried []string
+}
+
+// admit checks a request against the configuration in force.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
+	req := &request{
+		call: g.settings.Dialect.ReadCall(r.Header), arrived: time.Now(), header: r.Header,
+		method: r.Method, uri: requestURI(r), host: r.Host,
+	}
+	table := g.table.Load()
+	if table == nil {
+		return req, notRun(http.StatusServiceUnavailable, "no configuration yet", notReadyRetry)
+	}
+	path, _, _ := strings.Cut(req.uri, "?")
+	req.route = table.Match(r.Host, path)
+	if req.route == nil {
+		return req, reject(http.StatusNotFound, "no route serves this host and path")
+	}
+	if refused := authenticate(table, req); refused != nil {
+		return req, refused
+	}
+	req.service = table.Service(chooseService(req.route.Splits))
+	if req.service == nil {
+		return req, notRun(http.StatusServiceUnavailable, "the route has no service", notReadyRetry)
+	}
+	if refused := readBody(w, r, table.Config().Limits, req); refused != nil {
+		return req, refused
+	}
+	req.setTimes()
+	req.fingerprint = fingerprint(req)
+	return req, g.charge(req)
+}
+
+// requestURI returns the request target as it was sent, in origin form.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func authenticate(table *routing.Table, req *request) *Refusal {
+	if !table.HasWorkspaces() {
+		req.tier = req.route.Tier
+		return nil
+	}
+	req.workspace = table.WorkspaceByKey(req.call.Key)
+	if req.workspace == nil && !req.route.Public {
+		return reject(http.StatusUnauthorized, "unknown key")
+	}
+	req.tier = req.route.Tier
+	if req.workspace != nil && req.workspace.Tier != nil {
+		req.tier = *req.workspace.Tier
+	}
+	return nil
+}
+
+// chooseService draws a service by the weights of a route's splits.
+func chooseService(splits []routing.Split) string {
+	total := 0.0
+	for _, s := range splits {
+		total += s.Weight
+	}
+	drawn := rand.Float64() * total
+	for _, s := range splits {
+		if drawn < s.Weight {
+			return s.Service
+		}
+		drawn -= s.Weight
+	}
+	return ""
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, req *request) *Refusal {
+	limit := limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return reject(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	if err != nil {
+		return reject(http.StatusBadRequest, "the body could not be read")
+	}
+	req.body = body
+	return nil
+}
+
+// setTimes sets the deadline from the route's timeout and the caller's patience.
+func (r *request) setTimes() {
+	timeout := r.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if r.call.Patience > 0 {
+		timeout = min(timeout, r.call.Patience)
+	}
+	r.deadline = r.arrived.Add(timeout + timeoutGrace)
+}
+
+// left is the time that a target may work on the request.
+func (r *request) left(now time.Time) time.Duration { return r.deadline.Sub(now) - timeoutGrace }
+
+func (r *request) objective() time.Duration {
+	if r.route.Objective > 0 {
+		return r.route.Objective
+	}
+	return defaultObjective
+}
+
+// charge takes the request from its workspace's quota.
+func (g *Gateway) charge(req *request) *Refusal {
+	if req.workspace == nil || req.workspace.Quota.Rate <= 0 {
+		return nil
+	}
+	q := req.workspace.Quota
+	cost := q.Cost(req.call.PromptTokens, req.call.OutputTokens)
+	wait, ok := g.settings.Ledger.Take(time.Now(), req.workspace.Name, limitOf(q), cost)
+	if !ok {
+		return notRun(http.StatusTooManyRequests, "the workspace's quota is used up", wait)
+	}
+	req.cost = cost
+	return nil
+}
+
+func limitOf(q routing.Quota) quota.Limit { return quota.Limit{Rate: q.Rate, Burst: q.Burst} }
+
+// refund gives back the quota of a request that no target ran.
+func (g *Gateway) refund(req *request) {
+	if req.cost > 0 && !req.ran {
+		g.settings.Ledger.Return(req.workspace.Name, req.cost)
+	}
+}
+
+// fingerprint identifies the request across repeated sends. Requests without a
+// body are not told apart by it and get none.
+func fingerprint(req *request) uint64 {
+	if len(req.body) == 0 {
+		return 0
+	}
+	digest := xxhash.New()
+	for _, part := range []string{req.method, req.uri, req.call.Key} {
+		_, _ = digest.WriteString(part) // xxhash never fails
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(req.body)
+	return digest.Sum64()
+}
+
+// ticket is the scheduler's record of the request.
+func (r *request) ticket(zone string, deadline time.Time) scheduler.Ticket {
+	t := scheduler.Ticket{
+		Tier:         scheduler.Rank(r.tier),
+		Route:        r.route.Name,
+		PromptTokens: r.call.PromptTokens,
+		OutputTokens: r.expectedOutput(),
+		BodyBytes:    int64(len(r.body)),
+		Region:       zone,
+		Deadline:     deadline,
+		Fingerprint:  r.fingerprint,
+		Idempotent:   r.route.Repeatable(),
+		Avoid:        r.tried,
+	}
+	if r.workspace != nil {
+		t.Workspace = r.workspace.Name
+	}
+	return t
+}
+
+// expectedOutput estimates the generated tokens.
+func (r *request) expectedOutput() int {
+	if r.call.ExpectedOutput > 0 {
+		return min(r.call.ExpectedOutput, r.call.OutputTokens)
+	}
+	return r.call.OutputTokens
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/forward"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+var (
+	errTimeout     = errors.New("the time of the request is over")
+	errCallerWrite = errors.New("the caller does not take the answer")
+)
+
+// statusCallerGone stands for a caller that went away, in logs and metrics only.
+const statusCallerGone = 499
+
+// maxPlainAnswer bounds an answer that is read before it is passed on.
+const maxPlainAnswer = 1 << 20
+
+// waitObjectives is how many objectives a request may wait for its first event or
+// answer. A late answer earns less but something.
+const waitObjectives = 2
+
+// serve sends the request until it has an answer or may not be sent again.
+func (g *Gateway) serve(ctx context.Context, out *responder, req *request) *Refusal {
+	defer g.refund(req)
+	grp := g.group(req.service.Name)
+	g.settings.Retries.Earn(req.service.Name)
+	for {
+		s, refused := g.acquire(ctx, grp, req)
+		if refused != nil {
+			return refused
+		}
+		a := &attempt{gateway: g, req: req, slot: s, out: out, sent: time.Now()}
+		outcome := a.run(ctx)
+		if outcome.done {
+			return outcome.refusal
+		}
+		if again := g.mayRepeat(ctx, req, outcome); !again {
+			return outcome.refusal
+		}
+		g.settings.Log.Info("sent again", requestFields(req, zap.String("after", outcome.reason),
+			zap.String("target", s.target.ID))...)
+	}
+}
+
+// acquire waits for a target.
+func (g *Gateway) acquire(ctx context.Context, grp *group, req *request) (*slot, *Refusal) {
+	deadline := req.arrived.Add(waitObjectives * req.objective())
+	if req.sends > 0 {
+		// A request that has been sent is worth the wait for its whole time.
+		deadline = req.deadline
+	}
+	s, err := grp.acquire(ctx, req.ticket(g.settings.Zone, deadline))
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return s, nil
+	case req.ran:
+		return nil, mayHaveRun(http.StatusBadGateway, "no target could take the request again")
+	case errors.As(err, &refused):
+		return nil, notRun(http.StatusServiceUnavailable, string(refused.Reason), refused.RetryAfter)
+	case errors.Is(err, errTimeout):
+		return nil, notRun(http.StatusServiceUnavailable, "the request waited for too long", minRetryAfter)
+	default:
+		return nil, reject(statusCallerGone, "the caller closed the connection")
+	}
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	// done is set if the caller has its answer or must not get another one.
+	done bool
+	// refusal is what the caller gets if the request is not sent again.
+	refusal *Refusal
+	// free is set if the attempt did not reach a target, so that another one is no repeat.
+	free bool
+	// repeat is set if the budget of a repeat has been spent already.
+	repeat bool
+	reason string
+}
+
+// mayRepeat tells whether the request may be sent to another target.
+func (g *Gateway) mayRepeat(ctx context.Context, req *request, o outcome) bool {
+	if ctx.Err() != nil || req.left(time.Now()) <= 0 {
+		return false
+	}
+	if o.repeat {
+		return true
+	}
+	if o.free {
+		return len(req.tried) <= maxFree
+	}
+	if req.ran && !req.route.Repeatable() {
+		return false
+	}
+	if req.sends >= max(1, req.route.MaxAttempts) {
+		return false
+	}
+	return g.settings.Retries.Spend(req.service.Name)
+}
+
+// maxFree bounds the targets that a request finds unreachable.
+const maxFree = 4
+
+// attempt is one send of a request to a target.
+type attempt struct {
+	gateway *Gateway
+	req     *request
+	slot    *slot
+	out     *responder
+	sent    time.Time
+
+	first  time.Duration
+	events int
+	// after is the id of the last event passed on; resumed is set if the target
+	// was asked to continue behind it.
+	after   int64
+	resumed bool
+}
+
+// run sends the request and relays the answer.
+func (a *attempt) run(ctx context.Context) outcome {
+	result := scheduler.ResultFailed
+	defer func() { a.slot.release(result, a.first, a.outputTokens()) }()
+	response, err := a.send(ctx)
+	if err != nil {
+		var o outcome
+		o, result = a.sendFailed(ctx, err)
+		return o
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.req.sends++
+	answer := a.gateway.settings.Dialect.ReadAnswer(response.StatusCode, response.Header)
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	var o outcome
+	switch {
+	case answer.OtherTarget || answer.NotRun && response.StatusCode != http.StatusBadRequest:
+		o, result = a.notRun(response)
+	case success && !answer.Sealed:
+		a.req.ran = true
+		o = a.failed("answer without a signature")
+	case success && a.isStream(response):
+		a.req.ran = true
+		o, result = a.relayStream(ctx, response)
+	default:
+		a.req.ran = true
+		o, result = a.relayPlain(ctx, response)
+	}
+	return o
+}
+
+func (a *attempt) outputTokens() int {
+	return a.events * max(1, a.req.service.TokensPerEvent)
+}
+
+func (a *attempt) target() forward.Target {
+	t := a.slot.target
+	return forward.Target{ID: t.ID, Born: t.Born, Address: t.Address}
+}
+
+func (a *attempt) send(ctx context.Context) (*forward.Response, error) {
+	header := a.req.header.Clone()
+	removeHopByHop(header)
+	header.Del("Content-Length")
+	send := Send{Target: a.slot.target.ID, Left: a.req.left(a.sent)}
+	if a.req.workspace != nil {
+		send.Workspace = a.req.workspace.Name
+	}
+	if a.out.started {
+		a.after, a.resumed = a.out.lastEvent, true
+		send.After = strconv.FormatInt(a.after, 10)
+	}
+	dialect := a.gateway.settings.Dialect
+	dialect.WriteSend(header, send)
+	a.gateway.logSend(a)
+	return a.gateway.settings.Pool.Do(ctx, a.target(), &forward.Request{
+		Method: a.req.method, URI: a.req.uri, Host: a.req.host, Header: header, Body: a.req.body,
+		Matches: func(h http.Header) bool {
+			id := dialect.ReadAnswer(0, h).CallID
+			return id == "" || id == a.req.call.ID
+		},
+	})
+}
+
+// sendFailed judges a send without an answer.
+func (a *attempt) sendFailed(ctx context.Context, err error) (outcome, scheduler.Result) {
+	a.req.tried = append(a.req.tried, a.slot.target.ID)
+	var sendErr *forward.Error
+	written := !errors.As(err, &sendErr) || sendErr.Written
+	if !written {
+		if errors.Is(err, context.Canceled) {
+			return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
+				scheduler.ResultNotDispatched
+		}
+		refusal := notRun(http.StatusServiceUnavailable, "the target could not be reached", minRetryAfter)
+		if a.req.ran {
+			refusal = mayHaveRun(http.StatusBadGateway, "the target could not be reached")
+		}
+		return outcome{free: true, refusal: refusal, reason: err.Error()}, scheduler.ResultNotDispatched
+	}
+	a.req.sends++
+	a.req.ran = true
+	switch {
+	case errors.Is(err, context.Canceled):
+		return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
+			scheduler.ResultCancelled
+	case errors.Is(err, errTimeout):
+		return outcome{done: true, refusal: mayHaveRun(http.StatusGatewayTimeout, "the target did not answer in time")},
+			scheduler.ResultFailed
+	}
+	return a.failed(err.Error()), a.broken(ctx)
+}
+
+// goneTimeout bounds the check whether a target with a broken connection is gone.
+const goneTimeout = 200 * time.Millisecond
+
+// broken tells a target that died from one that broke a connection.
+func (a *attempt) broken(ctx context.Context) scheduler.Result {
+	a.gateway.settings.Pool.Drop(a.target())
+	probe, cancel := context.WithTimeout(context.WithoutCancel(ctx), goneTimeout)
+	defer cancel()
+	if a.gateway.settings.Pool.Refuses(probe, a.target()) {
+		return scheduler.ResultTargetDied
+	}
+	return scheduler.ResultFailed
+}
+
+// failed ends an attempt after which the request may have run.
+func (a *attempt) failed(reason string) outcome {
+	a.tried()
+	return outcome{refusal: mayHaveRun(http.StatusBadGateway, "the target failed"), reason: reason}
+}
+
+func (a *attempt) tried() {
+	tried := a.req.tried
+	if len(tried) == 0 || tried[len(tried)-1] != a.slot.target.ID {
+		a.req.tried = append(tried, a.slot.target.ID)
+	}
+}
+
+// notRun ends an attempt of which the target states that it did not run it.
+func (a *attempt) notRun(response *forward.Response) (outcome, scheduler.Result) {
+	a.tried()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxPlainAnswer)) // to keep the connection
+	refusal := notRun(http.StatusServiceUnavailable, "the target did not run the request", minRetryAfter)
+	if a.req.ran {
+		refusal = mayHaveRun(http.StatusBadGateway, "the target did not run the request again")
+	}
+	return outcome{refusal: refusal, reason: "not run: " + response.Status}, scheduler.ResultNotDispatched
+}
+
+// relayPlain reads a whole answer and passes it on.
+func (a *attempt) relayPlain(ctx context.Context, response *forward.Response) (outcome, scheduler.Result) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
+	if err != nil || len(body) > maxPlainAnswer {
+		return a.bodyFailed(ctx, err)
+	}
+	a.first = time.Since(a.sent)
+	a.gateway.observeFirst(a)
+	status := response.StatusCode
+	result := scheduler.ResultServed
+	if status >= 500 {
+		result = scheduler.ResultFailed
+		if a.req.route.Repeatable() && a.gateway.mayRepeat(ctx, a.req, outcome{}) {
+			a.tried()
+			a.gateway.settings.Log.Info("target's failure not passed on",
+				requestFields(a.req, zap.String("target", a.slot.target.ID), zap.Int("status", status))...)
+			return outcome{refusal: mayHaveRun(http.StatusBadGateway, "the target failed"),
+				reason: response.Status, repeat: true}, result
+		}
+	}
+	if a.out.started {
+		// A stream has begun, so nothing else can be said any more.
+		return outcome{done: true, refusal: mayHaveRun(http.StatusBadGateway, "the stream could not be continued")}, result
+	}
+	if isPromise(status) {
+		return outcome{done: true, refusal: mayHaveRun(http.StatusBadGateway, "the target failed")}, scheduler.ResultFailed
+	}
+	a.out.begin(status, response.Header, len(body))
+	if err := a.out.write(body); err != nil {
+		return outcome{done: true, refusal: reject(statusCallerGone, errCallerWrite.Error())}, scheduler.ResultCancelled
+	}
+	a.out.complete = true
+	return outcome{done: true}, result
+}
+
+// isPromise tells whether a status states that the request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// bodyFailed judges an answer that broke off.
+func (a *attempt) bodyFailed(ctx context.Context, err error) (outcome, scheduler.Result) {
+	switch {
+	case errors.Is(err, errTimeout):
+		return outcome{done: true, refusal: mayHaveRun(http.StatusGatewayTimeout, "the target did not answer in time")},
+			scheduler.ResultFailed
+	case ctx.Err() != nil:
+		return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
+			scheduler.ResultCancelled
+	}
+	reason := "answer too long"
+	if err != nil {
+		reason = err.Error()
+	}
+	return a.failed(reason), a.broken(ctx)
+}
--- /dev/null
+++ b/internal/instance/beliefs.go
@@ -0,0 +1,162 @@
+package instance
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/routing"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// applyConfig puts the operator's newest configuration in force. One that cannot
+// be read leaves the last one in force.
+func (i *Instance) applyConfig() {
+	snapshot := i.operator.Current()
+	row, ok := snapshot.Rows[platform.KeyConfig]
+	if !ok {
+		return
+	}
+	config, err := platform.DecodeConfig(row.Value)
+	if err != nil {
+		i.log.Error("configuration cannot be read, the last one stays in force", zap.Int64("row", row.Version), zap.Error(err))
+		return
+	}
+	if current := i.gateway.Table(); current != nil && config.Version <= current.Config().Version {
+		return
+	}
+	i.gateway.SetTable(routing.NewTable(config))
+	i.applyTargets()
+	i.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int64("row", row.Version),
+		zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
+}
+
+func (i *Instance) applyTargets() {
+	snapshot := i.registry.Current()
+	if snapshot == nil {
+		return
+	}
+	if i.targets.update(snapshot, time.Now(), i.registry.Restored()) {
+		i.gateway.SetTargets(i.targets.list())
+	}
+}
+
+// Times of the registry's view.
+const (
+	// returnTime is how long after the store's return a missing entry is taken as
+	// lapsed meanwhile: entries of live targets are back within about 2 s.
+	returnTime = 2200 * time.Millisecond
+)
+
+// targetList is the registry as this instance uses it.
+type targetList struct {
+	log      *zap.Logger
+	version  int64
+	targets  map[string]routing.Target
+	rejected map[string]int64
+	// missing holds when an entry was first missing after an absence of the store.
+	missing map[string]time.Time
+}
+
+func newTargetList(log *zap.Logger) *targetList {
+	return &targetList{
+		log: log, targets: make(map[string]routing.Target),
+		rejected: make(map[string]int64), missing: make(map[string]time.Time),
+	}
+}
+
+// update takes over the registry and reports whether anything changed.
+func (l *targetList) update(snapshot *mirror.Snapshot, now, restored time.Time) bool {
+	if snapshot.Version == l.version && len(l.missing) == 0 {
+		return false
+	}
+	l.version = snapshot.Version
+	changed := false
+	for id, row := range snapshot.Rows {
+		target, err := platform.DecodeTarget(id, row.Value)
+		if err != nil {
+			l.reject(id, row.Version, err)
+			continue
+		}
+		delete(l.missing, id)
+		if l.targets[id] != target {
+			l.targets[id] = target
+			changed = true
+			l.log.Info("target entry", zap.String("target", id), zap.Int64("row", row.Version),
+				zap.String("service", target.Service), zap.String("address", target.Address),
+				zap.String("version", target.Version), zap.Bool("draining", target.Draining))
+		}
+	}
+	for id := range l.targets {
+		if _, ok := snapshot.Rows[id]; !ok && l.gone(id, now, restored) {
+			delete(l.targets, id)
+			delete(l.missing, id)
+			changed = true
+			l.log.Info("target gone", zap.String("target", id), zap.Int64("row", snapshot.Version))
+		}
+	}
+	return changed
+}
+
+// gone tells whether a missing entry means that the target has left.
+func (l *targetList) gone(id string, now, restored time.Time) bool {
+	if now.Sub(restored) >= returnTime {
+		return true
+	}
+	if _, ok := l.missing[id]; !ok {
+		l.missing[id] = now
+		l.log.Info("target entry missing after the store's absence", zap.String("target", id))
+	}
+	return false
+}
+
+// reject logs an entry that names no target, once for each version of it.
+func (l *targetList) reject(id string, version int64, err error) {
+	if l.rejected[id] != version {
+		l.rejected[id] = version
+		l.log.Warn("registry entry not used", zap.Int64("row", version), zap.Error(err))
+	}
+}
+
+func (l *targetList) list() []routing.Target {
+	targets := make([]routing.Target, 0, len(l.targets))
+	for _, t := range l.targets {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// Parameters of the connections between availability zones.
+const (
+	zoneDelay   = 500 * time.Microsecond
+	regionDelay = 12 * time.Millisecond
+	// regionBytesPerSecond is what this instance's groups may send to another
+	// region: a part of the 30 Mbit/s that all traffic shares.
+	regionBytesPerSecond = 30e6 / 8 / 8
+	// zonePrice and regionPrice are the waiting time that a megabyte is worth.
+	zonePrice   = 4 * time.Second
+	regionPrice = 8 * time.Second
+)
+
+// zoneLinks describes the connections between all availability zones. The
+// scheduler's regions are the zones here, because the platform charges for bytes
+// between zones too.
+func zoneLinks(regions map[string]string) map[scheduler.RegionPair]scheduler.Link {
+	links := make(map[scheduler.RegionPair]scheduler.Link)
+	for from, fromRegion := range regions {
+		for to, toRegion := range regions {
+			switch {
+			case from == to:
+			case fromRegion == toRegion:
+				links[scheduler.RegionPair{From: from, To: to}] = scheduler.Link{Delay: zoneDelay, PricePerMegabyte: zonePrice}
+			default:
+				links[scheduler.RegionPair{From: from, To: to}] = scheduler.Link{
+					BytesPerSecond: regionBytesPerSecond, Delay: regionDelay, PricePerMegabyte: regionPrice,
+				}
+			}
+		}
+	}
+	return links
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,212 @@
+// Package instance assembles an instance that serves the users' platform.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/forward"
+	"github.com/basilloom/basilloom/gateway"
+	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/telemetry"
+)
+
+// Limits and times of the listeners.
+const (
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any configured time for which callers keep idle
+	// connections, so that none is closed while a request is on its way.
+	idleTimeout    = 5 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the machine's memory that the garbage collector
+	// keeps to; the rest is for buffers of the kernel and bursts.
+	memoryShare = 0.6
+	prunePeriod = time.Second
+	// rotationTime is how long after SIGTERM callers' new connections still come:
+	// the balancer asks once a second and needs two misses.
+	rotationTime = 2500 * time.Millisecond
+	// graceMargin is left of the grace time for the end of the process.
+	graceMargin = 700 * time.Millisecond
+)
+
+// Instance is one instance.
+type Instance struct {
+	settings platform.Settings
+	log      *zap.Logger
+	store    *platform.Store
+	operator *mirror.Table
+	registry *mirror.Table
+	targets  *targetList
+	pool     *forward.Pool
+	ledger   *quota.Ledger
+	gateway  *gateway.Gateway
+	metrics  *telemetry.Metrics
+	leaving  atomic.Bool
+
+	work context.Context
+	stop context.CancelFunc
+}
+
+// New assembles an instance. Nothing runs before Run.
+func New(settings platform.Settings, log *zap.Logger) (*Instance, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	requests, err := gateway.NewMetrics(metrics.Meter)
+	if err != nil {
+		return nil, fmt.Errorf("request metrics: %w", err)
+	}
+	i := &Instance{
+		settings: settings, log: log, metrics: metrics,
+		store: platform.NewStore(settings.Store), pool: forward.NewPool(), ledger: quota.NewLedger(),
+	}
+	i.work, i.stop = context.WithCancel(context.Background())
+	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
+	i.registry = mirror.NewTable(platform.TableTargets, i.store, log)
+	i.targets = newTargetList(log)
+	i.gateway = gateway.New(i.work, gateway.Settings{
+		Zone: settings.Zone, Dialect: platform.Dialect{}, Pool: i.pool, Ledger: i.ledger,
+		Retries: quota.NewRetries(settings.RetryRatio*retryShare, retryReserve(settings)),
+		Links:   zoneLinks(settings.Regions), Metrics: requests, Log: log,
+	})
+	return i, nil
+}
+
+// retryShare is the part of the fleet's budget ratio that requests earn; the rest
+// covers the windows in which the requests of a burst earned what later ones spend.
+const retryShare = 0.8
+
+// assumedFleet is the number of instances that the reserve is divided by.
+const assumedFleet = 12
+
+func retryReserve(settings platform.Settings) float64 {
+	return max(1, settings.RetryReserve/assumedFleet)
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	if i.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(i.settings.MemoryBytes)))
+	}
+	servers, err := i.listen()
+	if err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		running.Go(func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+			}
+		})
+	}
+	running.Go(func() { i.operator.Run(i.work) })
+	running.Go(func() { i.registry.Run(i.work) })
+	running.Go(func() { i.follow(i.work) })
+	i.log.Info("instance started", zap.String("callers", i.settings.Callers), zap.String("store", i.settings.Store))
+	select {
+	case <-ctx.Done():
+		i.shutdown(servers)
+	case err = <-failed:
+	}
+	i.stop()
+	for _, s := range servers {
+		_ = s.server.Close() // the process ends
+	}
+	running.Wait()
+	i.pool.Close()
+	return err
+}
+
+type server struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (i *Instance) listen() ([]server, error) {
+	var servers []server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{i.settings.Callers, i.gateway},
+		{i.settings.Ready, http.HandlerFunc(i.serveReady)},
+		{i.settings.Metrics, i.metrics.Handler},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		servers = append(servers, server{listener: listener, server: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(i.log.Named("http")),
+		}})
+	}
+	return servers, nil
+}
+
+// serveReady tells the balancer whether callers may be sent here.
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if i.leaving.Load() || i.gateway.Table() == nil {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// follow applies changes of the configuration and of the registry.
+func (i *Instance) follow(ctx context.Context) {
+	ticker := time.NewTicker(prunePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.operator.Changed():
+			i.applyConfig()
+		case <-i.registry.Changed():
+			i.applyTargets()
+		case now := <-ticker.C:
+			i.pool.Prune(now)
+			i.applyTargets()
+		}
+	}
+}
+
+// shutdown takes the instance out of the balancer, serves what still comes, and
+// waits for the requests in flight.
+func (i *Instance) shutdown(servers []server) {
+	i.log.Info("shutting down")
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Grace-graceMargin)
+	defer cancel()
+	i.leaving.Store(true)
+	i.gateway.Drain()
+	select {
+	case <-time.After(rotationTime):
+	case <-ctx.Done():
+	}
+	var closing sync.WaitGroup
+	closing.Go(func() {
+		if err := servers[0].server.Shutdown(ctx); err != nil {
+			i.log.Warn("callers' connections were cut", zap.Error(err))
+		}
+	})
+	if err := i.gateway.Wait(ctx); err != nil {
+		i.log.Warn("requests in flight were cut", zap.Error(err))
+	}
+	closing.Wait()
+	i.log.Info("stopped")
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,151 @@
+// Package quota keeps limits that hold over all instances together without a
+// message for each request. Every instance counts what it spends and learns from
+// its peers' reports what they have spent.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit is a token bucket over all instances: Rate a second up to Burst.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Spent is what one instance has spent for each workspace since its start.
+type Spent map[string]float64
+
+// Ledger is one instance's view of the buckets of all workspaces. A bucket that
+// the instance has not seen before starts empty: what was spent before a restart
+// is unknown.
+type Ledger struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	// own is what this instance has spent.
+	own Spent
+	// peers holds what the last report of each peer's start counted.
+	peers map[string]peerReport
+	// share is the part of the limits that this instance and the peers that it
+	// hears may spend together.
+	share float64
+}
+
+type peerReport struct {
+	incarnation uint64
+	spent       Spent
+}
+
+type bucket struct {
+	limit   Limit
+	level   float64
+	updated time.Time
+}
+
+// NewLedger returns a ledger without buckets.
+func NewLedger() *Ledger {
+	return &Ledger{
+		buckets: make(map[string]*bucket),
+		own:     make(Spent),
+		peers:   make(map[string]peerReport),
+		share:   1,
+	}
+}
+
+// Take spends the amount, unless the bucket is empty. It returns the time after
+// which the bucket is expected to have filled again.
+func (l *Ledger) Take(now time.Time, workspace string, limit Limit, amount float64) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, workspace, limit)
+	// The amount may exceed what is left, so that a large request passes a small bucket.
+	if b.level <= 0 {
+		rate := max(limit.Rate*l.share, 1)
+		return time.Duration((-b.level + min(amount, limit.Burst)) / rate * float64(time.Second)), false
+	}
+	b.level -= amount
+	l.own[workspace] += amount
+	return 0, true
+}
+
+// Return gives back what was taken for a request that no target ran.
+func (l *Ledger) Return(workspace string, amount float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[workspace]; ok {
+		b.level = min(b.level+amount, b.limit.Burst*l.share)
+	}
+	// The count of what was spent is not lowered: peers take it as growing only.
+}
+
+func (l *Ledger) bucket(now time.Time, workspace string, limit Limit) *bucket {
+	b, ok := l.buckets[workspace]
+	if !ok {
+		b = &bucket{limit: limit, updated: now}
+		l.buckets[workspace] = b
+		return b
+	}
+	b.limit = limit
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.level = min(b.level+elapsed.Seconds()*limit.Rate*l.share, limit.Burst*l.share)
+		b.updated = now
+	}
+	return b
+}
+
+// Open creates the bucket of a workspace, so that it fills before the first request.
+func (l *Ledger) Open(now time.Time, workspace string, limit Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucket(now, workspace, limit)
+}
+
+// SetShare sets the part of the limits that this instance and the peers that it
+// hears may spend. The rest belongs to instances that it does not hear.
+func (l *Ledger) SetShare(now time.Time, share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if share == l.share {
+		return
+	}
+	for name, b := range l.buckets {
+		l.bucket(now, name, b.limit)
+	}
+	l.share = share
+}
+
+// Own returns a copy of what this instance has spent.
+func (l *Ledger) Own() Spent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := make(Spent, len(l.own))
+	for name, amount := range l.own {
+		own[name] = amount
+	}
+	return own
+}
+
+// Report takes over what a peer has spent. The first report of a peer's start is
+// charged as a whole, unless the peer was known before this instance started:
+// its earlier spending was charged by the instances that ran then.
+func (l *Ledger) Report(now time.Time, peer string, incarnation uint64, spent Spent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, known := l.peers[peer]
+	restarted := known && last.incarnation != incarnation
+	if known && incarnation < last.incarnation {
+		return // an old message
+	}
+	for workspace, amount := range spent {
+		before := last.spent[workspace]
+		if restarted {
+			before = 0
+		}
+		b, ok := l.buckets[workspace]
+		if ok && known && amount > before {
+			l.bucket(now, workspace, b.limit)
+			b.level -= amount - before
+		}
+	}
+	l.peers[peer] = peerReport{incarnation: incarnation, spent: spent}
+}
--- /dev/null
+++ b/quota/retries.go
@@ -0,0 +1,45 @@
+package quota
+
+import "sync"
+
+// Retries is the budget of requests that are sent again, for each service. Each
+// first send earns a part of a further one. The budgets of all instances together
+// stay within the fleet's without messages, as each holds its part of the reserve.
+type Retries struct {
+	mu       sync.Mutex
+	ratio    float64
+	reserve  float64
+	services map[string]float64
+}
+
+// NewRetries returns budgets that earn ratio for each first send and hold at most reserve.
+func NewRetries(ratio, reserve float64) *Retries {
+	return &Retries{ratio: ratio, reserve: reserve, services: make(map[string]float64)}
+}
+
+// Earn records a first send to the service.
+func (r *Retries) Earn(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.services[service] = min(r.level(service)+r.ratio, r.reserve)
+}
+
+// Spend takes one further send, if the budget has it.
+func (r *Retries) Spend(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	level := r.level(service)
+	if level < 1 {
+		return false
+	}
+	r.services[service] = level - 1
+	return true
+}
+
+func (r *Retries) level(service string) float64 {
+	level, ok := r.services[service]
+	if !ok {
+		return r.reserve
+	}
+	return level
+}
