fleet: reports between instances, quota over the whole fleet, tables from peers

Change: datagrams of 200 ms with spending and load of each instance; a bucket for each workspace over all instances; copies of the store's tables from peers.

--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,299 @@
+// Package fleet connects the instances that serve one platform. Each instance
+// tells the others in datagrams what it has on the targets and what it has spent
+// of the quotas, and hands out its copies of the store's tables, so that an
+// instance that the store refuses still follows changes.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/mirror"
+)
+
+// Periods and times of the reports.
+const (
+	// reportPeriod is the time between two reports to each peer.
+	reportPeriod = 200 * time.Millisecond
+	// maxReportsPerSecond bounds the datagrams of an instance; larger fleets report less often.
+	maxReportsPerSecond = 50
+	// silence is how long a peer may send nothing before its load counts no more
+	// and its part of the quotas is left to it.
+	silence = time.Second
+	// forgetAfter is how long a silent peer is taken for one that is cut off and
+	// may still spend its part of the quotas.
+	forgetAfter = 25 * time.Second
+	// maxDatagram bounds a report.
+	maxDatagram = 8 << 10
+)
+
+// Hash is the short form of a target's id or a workspace's name in reports.
+func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Peer is what is known of another instance.
+type Peer struct {
+	Name        string
+	Incarnation uint64
+	Address     string
+	// Heard is when its last report came, zero before the first.
+	Heard time.Time
+	// Known is when the peer was first learned of in this incarnation.
+	Known   time.Time
+	Leaving bool
+	Report  *pb.FleetReport
+}
+
+// Settings is what a Fleet works with.
+type Settings struct {
+	Self        string
+	Incarnation uint64
+	// Address is that of the listeners for datagrams and for tables.
+	Address string
+	// Seeds are addresses of instances to ask while no peer is known.
+	Seeds  []string
+	Tables []*mirror.Table
+	// Describe fills this instance's report.
+	Describe func(*pb.FleetReport)
+	// Received is called with each new report.
+	Received func(*pb.FleetReport)
+	Log      *zap.Logger
+}
+
+// Fleet is one instance's view of the others.
+type Fleet struct {
+	settings Settings
+	conn     *net.UDPConn
+
+	mu       sync.Mutex
+	peers    map[string]*Peer
+	listed   bool
+	sequence uint64
+	leaving  bool
+}
+
+// New binds the datagram listener.
+func New(settings Settings) (*Fleet, error) {
+	address, err := net.ResolveUDPAddr("udp4", settings.Address)
+	if err != nil {
+		return nil, fmt.Errorf("peers' address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for reports: %w", err)
+	}
+	return &Fleet{settings: settings, conn: conn, peers: make(map[string]*Peer)}, nil
+}
+
+// Run exchanges reports until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(f.receive)
+	running.Go(func() { f.heal(ctx) })
+	timer := time.NewTimer(reportPeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = f.conn.Close() // ends receive
+			running.Wait()
+			return
+		case <-timer.C:
+		}
+		timer.Reset(f.period())
+		f.report()
+	}
+}
+
+func (f *Fleet) period() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(reportPeriod, time.Duration(len(f.peers))*time.Second/maxReportsPerSecond)
+}
+
+// Leave tells the peers that this instance ends.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	f.report()
+}
+
+// report sends this instance's report to all peers.
+func (f *Fleet) report() {
+	message, addresses := f.compose()
+	if len(addresses) == 0 {
+		return
+	}
+	f.settings.Describe(message)
+	data, err := proto.Marshal(message)
+	if err != nil {
+		f.settings.Log.Error("report not encoded", zap.Error(err))
+		return
+	}
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			f.settings.Log.Warn("peer has no usable address", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		// A lost report is replaced by the next one.
+		_, _ = f.conn.WriteToUDP(data, to)
+	}
+}
+
+func (f *Fleet) compose() (*pb.FleetReport, []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	message := &pb.FleetReport{
+		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Sequence: f.sequence,
+		Address: f.settings.Address, Leaving: f.leaving,
+	}
+	for _, t := range f.settings.Tables {
+		if current := t.Current(); current != nil {
+			message.Tables = append(message.Tables, &pb.TableVersion{Table: t.Name(), Changed: current.Changed})
+		}
+	}
+	now := time.Now()
+	var addresses []string
+	for name, p := range f.peers {
+		if now.Sub(p.lastSign()) > forgetAfter {
+			delete(f.peers, name)
+			f.settings.Log.Info("peer forgotten", zap.String("peer", name))
+			continue
+		}
+		addresses = append(addresses, p.Address)
+	}
+	return message, addresses
+}
+
+// lastSign is when the peer was last heard of.
+func (p *Peer) lastSign() time.Time {
+	if p.Heard.IsZero() {
+		return p.Known
+	}
+	return p.Heard
+}
+
+func (f *Fleet) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := f.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an unreachable peer's answer to an earlier report
+		}
+		message := &pb.FleetReport{}
+		if err := proto.Unmarshal(buffer[:n], message); err != nil || message.GetInstance() == "" {
+			f.settings.Log.Warn("datagram is not a report", zap.Int("bytes", n), zap.Error(err))
+			continue
+		}
+		if f.accept(message, time.Now()) {
+			f.settings.Received(message)
+		}
+	}
+}
+
+// accept records a report unless a later one was received before.
+func (f *Fleet) accept(m *pb.FleetReport, now time.Time) bool {
+	if m.GetInstance() == f.settings.Self {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.peers[m.GetInstance()]
+	if !ok || m.GetIncarnation() > p.Incarnation {
+		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Known: now}
+		f.peers[m.GetInstance()] = p
+		f.settings.Log.Info("peer found", zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
+	}
+	if m.GetIncarnation() < p.Incarnation || (p.Report != nil && m.GetSequence() <= p.Report.GetSequence()) {
+		return false
+	}
+	if !p.Heard.IsZero() && now.Sub(p.Heard) > silence {
+		f.settings.Log.Info("peer heard again", zap.String("peer", p.Name), zap.Duration("silent", now.Sub(p.Heard)))
+	}
+	p.Address, p.Heard, p.Report, p.Leaving = m.GetAddress(), now, m, m.GetLeaving()
+	return true
+}
+
+// SetMembers adds the instances that the store or a peer lists.
+func (f *Fleet) SetMembers(members []*pb.FleetMember) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+	now := time.Now()
+	for _, m := range members {
+		if m.GetInstance() == f.settings.Self || m.GetAddress() == "" {
+			continue
+		}
+		if p, ok := f.peers[m.GetInstance()]; ok && p.Incarnation >= m.GetIncarnation() {
+			continue
+		}
+		f.peers[m.GetInstance()] = &Peer{
+			Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Known: now,
+		}
+	}
+}
+
+// Members returns this instance and the peers, for other instances.
+func (f *Fleet) Members() []*pb.FleetMember {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := []*pb.FleetMember{{
+		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Address: f.settings.Address,
+	}}
+	for _, p := range f.peers {
+		members = append(members, &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address})
+	}
+	return members
+}
+
+// Heard returns the last reports of the peers that are not silent.
+func (f *Fleet) Heard(now time.Time) []*pb.FleetReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var reports []*pb.FleetReport
+	for _, p := range f.peers {
+		if !p.Heard.IsZero() && now.Sub(p.Heard) <= silence {
+			reports = append(reports, p.Report)
+		}
+	}
+	return reports
+}
+
+// unlistedShare is the part of the fleet's limits that an instance uses before it
+// knows any peer.
+const unlistedShare = 0.1
+
+// Share is the part of the fleet's limits that this instance and the peers that
+// it hears may use together.
+func (f *Fleet) Share(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed && len(f.peers) == 0 {
+		return unlistedShare
+	}
+	known, heard := 1, 1
+	for _, p := range f.peers {
+		if p.Leaving && now.Sub(p.Heard) > silence {
+			continue
+		}
+		known++
+		if !p.Heard.IsZero() && now.Sub(p.Heard) <= silence {
+			heard++
+		}
+	}
+	return float64(heard) / float64(known)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilloom/basilloom/fleet"
 	"github.com/basilloom/basilloom/forward"
 	"github.com/basilloom/basilloom/gateway"
 	"github.com/basilloom/basilloom/mirror"
@@ -32,7 +33,8 @@
 	// memoryShare is the part of the machine's memory that the garbage collector
 	// keeps to; the rest is for buffers of the kernel and bursts.
 	memoryShare = 0.6
-	prunePeriod = time.Second
+	// loadPeriod is the time between two updates of what the peers have on the targets.
+	loadPeriod = 100 * time.Millisecond
 	// rotationTime is how long after SIGTERM callers' new connections still come:
 	// the balancer asks once a second and needs two misses.
 	rotationTime = 2500 * time.Millisecond
@@ -51,8 +53,11 @@
 	pool     *forward.Pool
 	ledger   *quota.Ledger
 	gateway  *gateway.Gateway
+	fleet    *fleet.Fleet
 	metrics  *telemetry.Metrics
 	leaving  atomic.Bool
+	// incarnation tells this start of the instance from earlier ones.
+	incarnation uint64
 
 	work context.Context
 	stop context.CancelFunc
@@ -71,6 +76,7 @@
 	i := &Instance{
 		settings: settings, log: log, metrics: metrics,
 		store: platform.NewStore(settings.Store), pool: forward.NewPool(), ledger: quota.NewLedger(),
+		incarnation: uint64(time.Now().UnixNano()),
 	}
 	i.work, i.stop = context.WithCancel(context.Background())
 	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
@@ -81,7 +87,11 @@
 		Retries: quota.NewRetries(settings.RetryRatio*retryShare, retryReserve(settings)),
 		Links:   zoneLinks(settings.Regions), Metrics: requests, Log: log,
 	})
-	return i, nil
+	i.fleet, err = fleet.New(fleet.Settings{
+		Self: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers, Seeds: settings.Seeds,
+		Tables: []*mirror.Table{i.operator, i.registry}, Describe: i.describe, Received: i.received, Log: log,
+	})
+	return i, err
 }
 
 // retryShare is the part of the fleet's budget ratio that requests earn; the rest
@@ -116,6 +126,8 @@
 	running.Go(func() { i.operator.Run(i.work) })
 	running.Go(func() { i.registry.Run(i.work) })
 	running.Go(func() { i.follow(i.work) })
+	running.Go(func() { i.fleet.Run(i.work) })
+	running.Go(func() { i.register(i.work) })
 	i.log.Info("instance started", zap.String("callers", i.settings.Callers), zap.String("store", i.settings.Store))
 	select {
 	case <-ctx.Done():
@@ -144,6 +156,7 @@
 	}{
 		{i.settings.Callers, i.gateway},
 		{i.settings.Ready, http.HandlerFunc(i.serveReady)},
+		{i.settings.Peers, i.fleet.Handler()},
 		{i.settings.Metrics, i.metrics.Handler},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -169,7 +182,7 @@
 
 // follow applies changes of the configuration and of the registry.
 func (i *Instance) follow(ctx context.Context) {
-	ticker := time.NewTicker(prunePeriod)
+	ticker := time.NewTicker(loadPeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -182,6 +195,7 @@
 		case now := <-ticker.C:
 			i.pool.Prune(now)
 			i.applyTargets()
+			i.takeLoads(now)
 		}
 	}
 }
@@ -208,5 +222,7 @@
 		i.log.Warn("requests in flight were cut", zap.Error(err))
 	}
 	closing.Wait()
+	i.fleet.Leave()
+	i.unregister()
 	i.log.Info("stopped")
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -57,7 +57,10 @@
 
 // Snapshot is the state of a table. It is immutable.
 type Snapshot struct {
+	// Version is the store's version up to which all changes are known.
 	Version int64
+	// Changed is the version at which a row last changed, as far as it is known.
+	Changed int64
 	Rows    map[string]Row
 }
 
@@ -119,13 +122,13 @@
 }
 
 // Offer takes over a state that a peer holds, if it is newer. It reports whether it was.
-func (t *Table) Offer(rows []Row, version int64) bool {
+func (t *Table) Offer(rows []Row, version, changed int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current != nil && version <= t.current.Version {
 		return false
 	}
-	t.setLocked(rows, version)
+	t.setLocked(rows, version, changed)
 	t.log.Info("table taken from a peer", zap.Int64("version", version), zap.Int("rows", len(rows)))
 	return true
 }
@@ -180,7 +183,23 @@
 	if t.current != nil && version < t.current.Version {
 		return // a peer was newer
 	}
-	t.setLocked(rows, version)
+	changed := version
+	if t.current != nil && sameRows(t.current.Rows, rows) {
+		changed = t.current.Changed
+	}
+	t.setLocked(rows, version, changed)
+}
+
+func sameRows(known map[string]Row, rows []Row) bool {
+	if len(known) != len(rows) {
+		return false
+	}
+	for _, row := range rows {
+		if k, ok := known[row.Key]; !ok || k.Version != row.Version {
+			return false
+		}
+	}
+	return true
 }
 
 // apply adds changes since a version, unless a peer's newer copy came meanwhile.
@@ -191,7 +210,7 @@
 		return
 	}
 	if len(changes.Rows) == 0 && len(changes.Removed) == 0 {
-		t.current = &Snapshot{Version: changes.Version, Rows: t.current.Rows}
+		t.current = &Snapshot{Version: changes.Version, Changed: t.current.Changed, Rows: t.current.Rows}
 		return
 	}
 	rows := maps.Clone(t.current.Rows)
@@ -201,16 +220,16 @@
 	for _, key := range changes.Removed {
 		delete(rows, key)
 	}
-	t.current = &Snapshot{Version: changes.Version, Rows: rows}
+	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Rows: rows}
 	t.signal()
 }
 
-func (t *Table) setLocked(rows []Row, version int64) {
+func (t *Table) setLocked(rows []Row, version, changed int64) {
 	byKey := make(map[string]Row, len(rows))
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
-	t.current = &Snapshot{Version: version, Rows: byKey}
+	t.current = &Snapshot{Version: version, Changed: changed, Rows: byKey}
 	t.signal()
 }
 
