instance: settings are read again on SIGHUP and when the file changes

Change: the signal and a change of the file have the settings read again; ones that cannot be read leave the last in force.

--- a/cmd/basilloomd/main.go
+++ b/cmd/basilloomd/main.go
@@ -65,7 +65,9 @@
 	if err != nil {
 		return err
 	}
-	return i.Run(ctx)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return i.Run(ctx, command.SettingsFile, reload)
 }
 
 func serve(settings daemon.Settings) error {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -78,6 +79,7 @@
 	listed   bool
 	sequence uint64
 	leaving  bool
+	seeds    []string
 }
 
 // New binds the datagram listener.
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for reports: %w", err)
 	}
-	return &Fleet{settings: settings, conn: conn, peers: make(map[string]*Peer)}, nil
+	return &Fleet{settings: settings, conn: conn, peers: make(map[string]*Peer), seeds: settings.Seeds}, nil
 }
 
 // Run exchanges reports until ctx ends.
@@ -247,6 +249,23 @@
 	}
 }
 
+// SetSeeds replaces the addresses of instances to ask while no peer is known.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
+// seed returns one of the seeds, or an empty text without any.
+func (f *Fleet) seed() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.seeds) == 0 {
+		return ""
+	}
+	return f.seeds[rand.IntN(len(f.seeds))]
+}
+
 // Members returns this instance and the peers, for other instances.
 func (f *Fleet) Members() []*pb.FleetMember {
 	f.mu.Lock()
--- a/fleet/heal.go
+++ b/fleet/heal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -85,8 +84,8 @@
 			}
 		}
 	}
-	if address == "" && version == 0 && len(f.settings.Seeds) > 0 {
-		return f.settings.Seeds[rand.IntN(len(f.settings.Seeds))], true
+	if address == "" && version == 0 {
+		address = f.seed()
 	}
 	return address, address != ""
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime/debug"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,8 +44,9 @@
 
 // Instance is one instance.
 type Instance struct {
-	settings platform.Settings
+	settings atomic.Pointer[platform.Settings]
 	log      *zap.Logger
+	retries  *quota.Retries
 	store    *platform.Store
 	operator *mirror.Table
 	registry *mirror.Table
@@ -74,17 +75,19 @@
 		return nil, fmt.Errorf("request metrics: %w", err)
 	}
 	i := &Instance{
-		settings: settings, log: log, metrics: metrics,
+		log: log, metrics: metrics,
 		store: platform.NewStore(settings.Store), pool: forward.NewPool(), ledger: quota.NewLedger(),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
+	i.settings.Store(&settings)
+	i.retries = quota.NewRetries(settings.RetryRatio*retryShare, retryReserve(settings))
 	i.work, i.stop = context.WithCancel(context.Background())
 	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
 	i.registry = mirror.NewTable(platform.TableTargets, i.store, log)
 	i.targets = newTargetList(log)
 	i.gateway = gateway.New(i.work, gateway.Settings{
 		Zone: settings.Zone, Dialect: platform.Dialect{}, Pool: i.pool, Ledger: i.ledger,
-		Retries: quota.NewRetries(settings.RetryRatio*retryShare, retryReserve(settings)),
+		Retries: i.retries,
 		Links:   zoneLinks(settings.Regions), Metrics: requests, Log: log,
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
@@ -106,10 +109,10 @@
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
-func (i *Instance) Run(ctx context.Context) error {
-	if i.settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(i.settings.MemoryBytes)))
-	}
+// The settings file at path is read again when it changes or reload gets a signal.
+func (i *Instance) Run(ctx context.Context, path string, reload <-chan os.Signal) error {
+	settings := i.settings.Load()
+	setMemoryLimit(*settings)
 	servers, err := i.listen()
 	if err != nil {
 		return err
@@ -128,7 +131,9 @@
 	running.Go(func() { i.follow(i.work) })
 	running.Go(func() { i.fleet.Run(i.work) })
 	running.Go(func() { i.register(i.work) })
-	i.log.Info("instance started", zap.String("callers", i.settings.Callers), zap.String("store", i.settings.Store))
+	running.Go(func() { i.watchSettings(i.work, path, reload) })
+	i.log.Info("instance started", zap.String("callers", settings.Callers), zap.String("store", settings.Store),
+		zap.Uint64("incarnation", i.incarnation))
 	select {
 	case <-ctx.Done():
 		i.shutdown(servers)
@@ -149,15 +154,16 @@
 }
 
 func (i *Instance) listen() ([]server, error) {
+	settings := i.settings.Load()
 	var servers []server
 	for _, l := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{i.settings.Callers, i.gateway},
-		{i.settings.Ready, http.HandlerFunc(i.serveReady)},
-		{i.settings.Peers, i.fleet.Handler()},
-		{i.settings.Metrics, i.metrics.Handler},
+		{settings.Callers, i.gateway},
+		{settings.Ready, http.HandlerFunc(i.serveReady)},
+		{settings.Peers, i.fleet.Handler()},
+		{settings.Metrics, i.metrics.Handler},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -204,7 +210,7 @@
 // waits for the requests in flight.
 func (i *Instance) shutdown(servers []server) {
 	i.log.Info("shutting down")
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Grace-graceMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Load().Grace-graceMargin)
 	defer cancel()
 	i.leaving.Store(true)
 	i.gateway.Drain()
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -28,8 +28,9 @@
 // register writes this instance's row and then reads all, so that of two
 // instances that start together at least one finds the other.
 func (i *Instance) register(ctx context.Context) {
+	settings := i.settings.Load()
 	value, err := proto.Marshal(&pb.FleetMember{
-		Instance: i.settings.Instance, Incarnation: i.incarnation, Address: i.settings.Peers,
+		Instance: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers,
 	})
 	if err != nil {
 		i.log.Error("instance row not encoded", zap.Error(err))
@@ -51,7 +52,7 @@
 }
 
 func (i *Instance) registerOnce(ctx context.Context, value []byte) error {
-	if err := i.store.Set(ctx, tableInstances, i.settings.Instance, value); err != nil {
+	if err := i.store.Set(ctx, tableInstances, i.settings.Load().Instance, value); err != nil {
 		return err
 	}
 	rows, _, err := i.store.Load(ctx, tableInstances)
@@ -77,7 +78,7 @@
 func (i *Instance) unregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := i.store.Remove(ctx, tableInstances, i.settings.Instance); err != nil {
+	if err := i.store.Remove(ctx, tableInstances, i.settings.Load().Instance); err != nil {
 		i.log.Warn("instance row not removed", zap.Error(err))
 	}
 }
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -43,3 +43,10 @@
 	}
 	return level
 }
+
+// SetLimits changes the ratio and the reserve.
+func (r *Retries) SetLimits(ratio, reserve float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ratio, r.reserve = ratio, reserve
+}
