--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -91,21 +91,32 @@
 }
 
 func authenticate(table *routing.Table, req *request) *Refusal {
+	req.tier = rank(nil, req.route)
 	if !table.HasWorkspaces() {
-		req.tier = req.route.Tier
 		return nil
 	}
 	req.workspace = table.WorkspaceByKey(req.call.Key)
 	if req.workspace == nil && !req.route.Public {
 		return reject(http.StatusUnauthorized, "unknown key")
 	}
-	req.tier = req.route.Tier
-	if req.workspace != nil && req.workspace.Tier != nil {
-		req.tier = *req.workspace.Tier
-	}
+	req.tier = rank(req.workspace, req.route)
 	return nil
 }
 
+// routeTiers is the number of route tiers that one workspace tier is divided into.
+const routeTiers = 16
+
+// rank is the scheduler's tier of a request: first by the workspace's tier, which
+// goes before the route's, then by the route's. Without the second part, all
+// requests of workspaces of one tier would be equal, however urgent their routes.
+func rank(workspace *routing.Workspace, route *routing.Route) int {
+	first := route.Tier
+	if workspace != nil && workspace.Tier != nil {
+		first = *workspace.Tier
+	}
+	return first*routeTiers + min(route.Tier, routeTiers-1)
+}
+
 // chooseService draws a service by the weights of a route's splits.
 func chooseService(splits []routing.Split) string {
 	total := 0.0
