--- a/broker/client.go
+++ b/broker/client.go
@@ -15,15 +15,15 @@
 // Sizes and periods of the client.
 const (
 	commandQueue = 1024
-	// ownerCheckPeriod is how often a link compares its peer with the owner.
-	ownerCheckPeriod = 200 * time.Millisecond
-	reconnectMin     = 20 * time.Millisecond
-	reconnectMax     = time.Second
-	// maxSilence is how long an owner with waiting tickets may send nothing
-	// before it is asked for an answer, and answerTimeout how long that may take.
+	// defaultOwnerCheck is how often a link compares its peer with the owner.
+	defaultOwnerCheck = 200 * time.Millisecond
+	reconnectMin      = 20 * time.Millisecond
+	reconnectMax      = time.Second
+	// defaultMaxSilence is how long an owner with waiting tickets may send nothing
+	// before it is asked for an answer, and defaultAnswerTimeout how long that may take.
 	// With the membership's probe they bound the wait for a paused owner to 2 s.
-	maxSilence    = 500 * time.Millisecond
-	answerTimeout = 500 * time.Millisecond
+	defaultMaxSilence    = 500 * time.Millisecond
+	defaultAnswerTimeout = 500 * time.Millisecond
 )
 
 // Stream is the client's side of one ticket stream.
@@ -47,6 +47,9 @@
 	Opener      Opener
 	// Local serves the groups that this instance owns without a connection.
 	Local *Manager
+	// MaxSilence, AnswerTimeout and OwnerCheck replace the defaults of the same
+	// names if they are set.
+	MaxSilence, AnswerTimeout, OwnerCheck time.Duration
 	// ReportFailure is told of an owner that broke a stream or does not answer; may be nil.
 	ReportFailure func(instance string)
 	Log           *zap.Logger
@@ -65,9 +68,18 @@
 
 // NewClient returns a Client whose links stop when ctx ends.
 func NewClient(ctx context.Context, settings ClientSettings) *Client {
+	setDefault(&settings.MaxSilence, defaultMaxSilence)
+	setDefault(&settings.AnswerTimeout, defaultAnswerTimeout)
+	setDefault(&settings.OwnerCheck, defaultOwnerCheck)
 	return &Client{settings: settings, ctx: ctx, links: make(map[GroupKey]*link)}
 }
 
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
 // Wait blocks until all links have stopped.
 func (c *Client) Wait() { c.wg.Wait() }
 
@@ -85,6 +97,7 @@
 	// decided gets the grant or the refusal; it has room for one.
 	decided   chan decision
 	cancelled chan struct{}
+	submitted time.Time
 
 	// The link's goroutine owns the fields below.
 	state     callState
@@ -127,6 +140,7 @@
 		deadline:  deadline,
 		decided:   make(chan decision, 1),
 		cancelled: make(chan struct{}),
+		submitted: time.Now(),
 	}
 	l.do(func() { l.submit(call) })
 	return call
@@ -147,6 +161,24 @@
 	}
 }
 
+// Silence is how long the group's owner has not answered while tickets wait.
+func (call *Call) Silence(now time.Time) time.Duration {
+	heard := call.link.answered.Load()
+	if heard == 0 {
+		return now.Sub(call.submitted)
+	}
+	return min(now.Sub(time.Unix(0, heard)), now.Sub(call.submitted))
+}
+
+// Withdraw takes the ticket back, as after the end of Wait's context. A grant
+// that was made meanwhile is given back.
+func (call *Call) Withdraw() {
+	call.link.do(func() { call.link.withdraw(call) })
+}
+
+// PromptTokens is the ticket's estimate of the prompt's length.
+func (call *Call) PromptTokens() int32 { return call.ticket.GetPromptTokens() }
+
 // Cancelled is closed when the broker asks to stop the running request.
 func (call *Call) Cancelled() <-chan struct{} { return call.cancelled }
 
--- a/broker/link.go
+++ b/broker/link.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,6 +37,8 @@
 	// heard is when the owner last answered; asked is when an unanswered empty
 	// request was sent, zero without one.
 	heard, asked time.Time
+	// answered is heard for other goroutines, in Unix nanoseconds.
+	answered atomic.Int64
 }
 
 type received struct {
@@ -65,7 +68,7 @@
 }
 
 func (l *link) run(ctx context.Context) {
-	ticker := time.NewTicker(ownerCheckPeriod)
+	ticker := time.NewTicker(l.client.settings.OwnerCheck)
 	defer ticker.Stop()
 	defer l.disconnect()
 	for {
@@ -195,6 +198,7 @@
 	}
 	l.backoff = 0
 	l.heard, l.asked = time.Now(), time.Time{}
+	l.answered.Store(l.heard.UnixNano())
 	for _, m := range r.response.GetGrant() {
 		l.grant(m)
 	}
@@ -332,9 +336,9 @@
 		return
 	}
 	switch {
-	case l.asked.IsZero() && now.Sub(l.heard) >= maxSilence:
+	case l.asked.IsZero() && now.Sub(l.heard) >= l.client.settings.MaxSilence:
 		l.ping, l.asked = true, now
-	case !l.asked.IsZero() && now.Sub(l.asked) >= answerTimeout:
+	case !l.asked.IsZero() && now.Sub(l.asked) >= l.client.settings.AnswerTimeout:
 		l.reportFailure(l.peer.Name)
 		l.ping, l.asked = true, now
 	}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -58,7 +58,8 @@
 	poller  *poller
 }
 
-// NewManager returns a Manager whose groups stop when ctx ends.
+// NewManager returns a Manager whose groups stop when ctx ends. Without reports
+// the groups judge their targets by requests and by SetForeign alone.
 func NewManager(ctx context.Context, self string, resolver Resolver, source Source, reports Reports, hooks Hooks, log *zap.Logger) *Manager {
 	return &Manager{
 		self:     self,
@@ -136,7 +137,9 @@
 	m.runners[key] = r
 	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
 	m.wg.Go(func() { r.run(ctx) })
-	m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
+	if m.poller.reports != nil {
+		m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
+	}
 	r.log.Info("broker role taken")
 	return r, nil
 }
@@ -213,6 +216,25 @@
 	}
 }
 
+// ForeignLoad is work on a target that a group has not granted.
+type ForeignLoad struct {
+	Running      int
+	PromptTokens int
+}
+
+// SetForeign tells all groups what others have on the targets. A target that is
+// not named has nothing else to do.
+func (m *Manager) SetForeign(loads map[string]ForeignLoad) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.runners {
+		select {
+		case r.events <- r.setForeign(loads):
+		default: // the next call brings newer counts
+		}
+	}
+}
+
 // GroupStatus is the state of a group that this instance runs.
 type GroupStatus struct {
 	Key     GroupKey
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -178,6 +178,16 @@
 	}
 }
 
+func (r *runner) setForeign(loads map[string]ForeignLoad) event {
+	return func(now time.Time) []scheduler.Decision {
+		for _, t := range r.targets {
+			load := loads[t.Name]
+			r.group.SetForeign(now, t.Name, load.Running, load.PromptTokens)
+		}
+		return r.group.Tick(now)
+	}
+}
+
 func (r *runner) closeSessions() {
 	for _, s := range r.sessions {
 		s.close()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/mirror"
 )
 
@@ -33,6 +34,11 @@
 	// forgetAfter is how long a silent peer is taken for one that is cut off and
 	// may still spend its part of the quotas.
 	forgetAfter = 25 * time.Second
+	// ownerSilence is how long a peer may send nothing and own groups. Two lost
+	// reports in a row do not move the groups.
+	ownerSilence = 3*reportPeriod + reportPeriod/2
+	// failurePause is how long a reported failure keeps a peer from owning groups.
+	failurePause = 2 * time.Second
 	// maxDatagram bounds a report.
 	maxDatagram = 8 << 10
 )
@@ -51,12 +57,16 @@
 	Known   time.Time
 	Leaving bool
 	Report  *pb.FleetReport
+	// avoidUntil is the end of the time for which a reported failure keeps the peer
+	// from owning groups.
+	avoidUntil time.Time
 }
 
 // Settings is what a Fleet works with.
 type Settings struct {
 	Self        string
 	Incarnation uint64
+	Zone        string
 	// Address is that of the listeners for datagrams and for tables.
 	Address string
 	// Seeds are addresses of instances to ask while no peer is known.
@@ -158,7 +168,7 @@
 	f.sequence++
 	message := &pb.FleetReport{
 		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Sequence: f.sequence,
-		Address: f.settings.Address, Leaving: f.leaving,
+		Address: f.settings.Address, Zone: f.settings.Zone, Leaving: f.leaving,
 	}
 	for _, t := range f.settings.Tables {
 		if current := t.Current(); current != nil {
@@ -316,3 +326,42 @@
 	}
 	return float64(heard) / float64(known)
 }
+
+// ReportFailure takes an instance out of the choice of owners for a while.
+func (f *Fleet) ReportFailure(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p, ok := f.peers[name]; ok {
+		p.avoidUntil = time.Now().Add(failurePause)
+	}
+}
+
+// Owner chooses the instance that owns a key among those that are heard and
+// stand in a preferred zone, or among all that are heard if none does.
+func (f *Fleet) Owner(key string, preferred func(zone string) bool, now time.Time) (name, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self := Peer{Name: f.settings.Self, Address: f.settings.Address, Report: &pb.FleetReport{Zone: f.settings.Zone}}
+	candidates := []*Peer{}
+	if !f.leaving {
+		candidates = append(candidates, &self)
+	}
+	for _, p := range f.peers {
+		if !p.Leaving && !p.Heard.IsZero() && now.Sub(p.Heard) <= ownerSilence && now.After(p.avoidUntil) {
+			candidates = append(candidates, p)
+		}
+	}
+	var owner *Peer
+	var highest uint64
+	best := false
+	for _, p := range candidates {
+		score, good := membership.Score(key, p.Name), preferred(p.Report.GetZone())
+		if owner == nil || (good && !best) || (good == best && score > highest) {
+			owner, highest, best = p, score, good
+		}
+	}
+	if owner == nil {
+		return f.settings.Self, f.settings.Address
+	}
+	return owner.Name, owner.Address
+}
--- a/fleet/heal.go
+++ b/fleet/heal.go
@@ -92,7 +92,11 @@
 
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: fetchTimeout, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, Protocols: protocols, IdleConnTimeout: time.Second,
+	}}
 }
 
 func fetch(ctx context.Context, client *http.Client, address, table string) (*pb.FetchTableResponse, error) {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -10,9 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/routing"
-	"github.com/basilloom/basilloom/scheduler"
 )
 
 // Defaults for what a configuration leaves unset.
@@ -50,6 +50,11 @@
 	ran bool
 	// tried lists the targets of earlier sends.
 	tried []string
+	// queued is the time spent waiting for a slot, first that from the arrival to
+	// the first event or the answer.
+	queued, first time.Duration
+	// target is the last target that the request was sent to.
+	target string
 }
 
 // admit checks a request against the configuration in force.
@@ -211,16 +216,14 @@
 	return digest.Sum64()
 }
 
-// ticket is the scheduler's record of the request.
-func (r *request) ticket(zone string, deadline time.Time) scheduler.Ticket {
-	t := scheduler.Ticket{
-		Tier:         scheduler.Rank(r.tier),
+// ticket is the broker's record of the request.
+func (r *request) ticket() *pb.Ticket {
+	t := &pb.Ticket{
+		Tier:         int32(r.tier),
 		Route:        r.route.Name,
-		PromptTokens: r.call.PromptTokens,
-		OutputTokens: r.expectedOutput(),
+		PromptTokens: int32(r.call.PromptTokens),
+		OutputTokens: int32(r.expectedOutput()),
 		BodyBytes:    int64(len(r.body)),
-		Region:       zone,
-		Deadline:     deadline,
 		Fingerprint:  r.fingerprint,
 		Idempotent:   r.route.Repeatable(),
 		Avoid:        r.tried,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -73,6 +73,8 @@
 	if table := g.table.Load(); table != nil {
 		fields = append(fields, zap.Int64("config", table.Config().Version))
 	}
+	fields = append(fields, zap.Duration("queued", req.queued), zap.Duration("first", req.first),
+		zap.String("target", req.target), zap.Int("prompt_tokens", req.call.PromptTokens))
 	fields = append(fields, zap.Int("status", status), zap.Int("bytes", out.bytes), zap.Bool("complete", out.complete))
 	g.settings.Log.Info("ended", fields...)
 	kind := "none"
@@ -88,6 +90,9 @@
 
 // observeFirst records the time to the first event or the answer.
 func (g *Gateway) observeFirst(a *attempt) {
+	if a.req.first == 0 {
+		a.req.first = time.Since(a.req.arrived)
+	}
 	g.settings.Metrics.first.Record(context.Background(), a.first.Seconds(),
 		metric.WithAttributes(attribute.String("kind", a.req.route.Kind.String())))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/forward"
-	"github.com/basilloom/basilloom/scheduler"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
 var (
@@ -32,13 +32,13 @@
 // serve sends the request until it has an answer or may not be sent again.
 func (g *Gateway) serve(ctx context.Context, out *responder, req *request) *Refusal {
 	defer g.refund(req)
-	grp := g.group(req.service.Name)
 	g.settings.Retries.Earn(req.service.Name)
 	for {
-		s, refused := g.acquire(ctx, grp, req)
+		s, refused := g.acquire(ctx, req)
 		if refused != nil {
 			return refused
 		}
+		req.target = s.target.ID
 		a := &attempt{gateway: g, req: req, slot: s, out: out, sent: time.Now()}
 		outcome := a.run(ctx)
 		if outcome.done {
@@ -53,13 +53,15 @@
 }
 
 // acquire waits for a target.
-func (g *Gateway) acquire(ctx context.Context, grp *group, req *request) (*slot, *Refusal) {
+func (g *Gateway) acquire(ctx context.Context, req *request) (*slot, *Refusal) {
 	deadline := req.arrived.Add(waitObjectives * req.objective())
 	if req.sends > 0 {
 		// A request that has been sent is worth the wait for its whole time.
 		deadline = req.deadline
 	}
-	s, err := grp.acquire(ctx, req.ticket(g.settings.Zone, deadline))
+	began := time.Now()
+	s, err := g.settings.Placer.acquire(ctx, req.service, req.ticket(), deadline)
+	req.queued += time.Since(began)
 	var refused *RefusedError
 	switch {
 	case err == nil:
@@ -129,7 +131,7 @@
 
 // run sends the request and relays the answer.
 func (a *attempt) run(ctx context.Context) outcome {
-	result := scheduler.ResultFailed
+	result := pb.Result_RESULT_FAILED
 	defer func() { a.slot.release(result, a.first, a.outputTokens()) }()
 	response, err := a.send(ctx)
 	if err != nil {
@@ -192,30 +194,30 @@
 }
 
 // sendFailed judges a send without an answer.
-func (a *attempt) sendFailed(ctx context.Context, err error) (outcome, scheduler.Result) {
+func (a *attempt) sendFailed(ctx context.Context, err error) (outcome, pb.Result) {
 	a.req.tried = append(a.req.tried, a.slot.target.ID)
 	var sendErr *forward.Error
 	written := !errors.As(err, &sendErr) || sendErr.Written
 	if !written {
 		if errors.Is(err, context.Canceled) {
 			return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
-				scheduler.ResultNotDispatched
+				pb.Result_RESULT_NOT_DISPATCHED
 		}
 		refusal := notRun(http.StatusServiceUnavailable, "the target could not be reached", minRetryAfter)
 		if a.req.ran {
 			refusal = mayHaveRun(http.StatusBadGateway, "the target could not be reached")
 		}
-		return outcome{free: true, refusal: refusal, reason: err.Error()}, scheduler.ResultNotDispatched
+		return outcome{free: true, refusal: refusal, reason: err.Error()}, pb.Result_RESULT_NOT_DISPATCHED
 	}
 	a.req.sends++
 	a.req.ran = true
 	switch {
 	case errors.Is(err, context.Canceled):
 		return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
-			scheduler.ResultCancelled
+			pb.Result_RESULT_CANCELLED
 	case errors.Is(err, errTimeout):
 		return outcome{done: true, refusal: mayHaveRun(http.StatusGatewayTimeout, "the target did not answer in time")},
-			scheduler.ResultFailed
+			pb.Result_RESULT_FAILED
 	}
 	return a.failed(err.Error()), a.broken(ctx)
 }
@@ -224,14 +226,14 @@
 const goneTimeout = 200 * time.Millisecond
 
 // broken tells a target that died from one that broke a connection.
-func (a *attempt) broken(ctx context.Context) scheduler.Result {
+func (a *attempt) broken(ctx context.Context) pb.Result {
 	a.gateway.settings.Pool.Drop(a.target())
 	probe, cancel := context.WithTimeout(context.WithoutCancel(ctx), goneTimeout)
 	defer cancel()
 	if a.gateway.settings.Pool.Refuses(probe, a.target()) {
-		return scheduler.ResultTargetDied
+		return pb.Result_RESULT_TARGET_DIED
 	}
-	return scheduler.ResultFailed
+	return pb.Result_RESULT_FAILED
 }
 
 // failed ends an attempt after which the request may have run.
@@ -248,18 +250,18 @@
 }
 
 // notRun ends an attempt of which the target states that it did not run it.
-func (a *attempt) notRun(response *forward.Response) (outcome, scheduler.Result) {
+func (a *attempt) notRun(response *forward.Response) (outcome, pb.Result) {
 	a.tried()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxPlainAnswer)) // to keep the connection
 	refusal := notRun(http.StatusServiceUnavailable, "the target did not run the request", minRetryAfter)
 	if a.req.ran {
 		refusal = mayHaveRun(http.StatusBadGateway, "the target did not run the request again")
 	}
-	return outcome{refusal: refusal, reason: "not run: " + response.Status}, scheduler.ResultNotDispatched
+	return outcome{refusal: refusal, reason: "not run: " + response.Status}, pb.Result_RESULT_NOT_DISPATCHED
 }
 
 // relayPlain reads a whole answer and passes it on.
-func (a *attempt) relayPlain(ctx context.Context, response *forward.Response) (outcome, scheduler.Result) {
+func (a *attempt) relayPlain(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
 	if err != nil || len(body) > maxPlainAnswer {
 		return a.bodyFailed(ctx, err)
@@ -267,9 +269,9 @@
 	a.first = time.Since(a.sent)
 	a.gateway.observeFirst(a)
 	status := response.StatusCode
-	result := scheduler.ResultServed
+	result := pb.Result_RESULT_SERVED
 	if status >= 500 {
-		result = scheduler.ResultFailed
+		result = pb.Result_RESULT_FAILED
 		if a.req.route.Repeatable() && a.gateway.mayRepeat(ctx, a.req, outcome{}) {
 			a.tried()
 			a.gateway.settings.Log.Info("target's failure not passed on",
@@ -283,11 +285,11 @@
 		return outcome{done: true, refusal: mayHaveRun(http.StatusBadGateway, "the stream could not be continued")}, result
 	}
 	if isPromise(status) {
-		return outcome{done: true, refusal: mayHaveRun(http.StatusBadGateway, "the target failed")}, scheduler.ResultFailed
+		return outcome{done: true, refusal: mayHaveRun(http.StatusBadGateway, "the target failed")}, pb.Result_RESULT_FAILED
 	}
 	a.out.begin(status, response.Header, len(body))
 	if err := a.out.write(body); err != nil {
-		return outcome{done: true, refusal: reject(statusCallerGone, errCallerWrite.Error())}, scheduler.ResultCancelled
+		return outcome{done: true, refusal: reject(statusCallerGone, errCallerWrite.Error())}, pb.Result_RESULT_CANCELLED
 	}
 	a.out.complete = true
 	return outcome{done: true}, result
@@ -303,14 +305,14 @@
 }
 
 // bodyFailed judges an answer that broke off.
-func (a *attempt) bodyFailed(ctx context.Context, err error) (outcome, scheduler.Result) {
+func (a *attempt) bodyFailed(ctx context.Context, err error) (outcome, pb.Result) {
 	switch {
 	case errors.Is(err, errTimeout):
 		return outcome{done: true, refusal: mayHaveRun(http.StatusGatewayTimeout, "the target did not answer in time")},
-			scheduler.ResultFailed
+			pb.Result_RESULT_FAILED
 	case ctx.Err() != nil:
 		return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
-			scheduler.ResultCancelled
+			pb.Result_RESULT_CANCELLED
 	}
 	reason := "answer too long"
 	if err != nil {
--- /dev/null
+++ b/gateway/source.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/basilloom/basilloom/broker"
+	"github.com/basilloom/basilloom/routing"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+const (
+	// queueLimit bounds the waiting requests of a group. It only guards memory;
+	// deadlines bound the queue in practice.
+	queueLimit = 2000
+	// engineExtraSlots are the requests that a model engine holds beyond those it
+	// runs side by side, so that a slot that becomes free is used before the next
+	// request has arrived.
+	engineExtraSlots = 1
+	// serviceExtraSlots are those of a plain service.
+	serviceExtraSlots = 6
+)
+
+// Initial speeds of engines, which measured ones replace within a few requests.
+// They are those of a 70B model on current accelerators.
+const (
+	initialPrefillPerSecond = 60_000
+	initialDecodePerSecond  = 300
+)
+
+// Groups describes the groups of services to the brokers. It implements broker.Source.
+type Groups struct {
+	// Links are the connections between availability zones.
+	Links map[scheduler.RegionPair]scheduler.Link
+
+	mu       sync.Mutex
+	services map[string]*routing.Service
+	targets  map[string][]routing.Target
+	byID     map[string]routing.Target
+}
+
+// SetTable takes over the services of a configuration.
+func (g *Groups) SetTable(table *routing.Table) {
+	services := make(map[string]*routing.Service)
+	config := table.Config()
+	for i := range config.Services {
+		services[config.Services[i].Name] = &config.Services[i]
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.services = services
+}
+
+// SetTargets replaces the targets of all services.
+func (g *Groups) SetTargets(targets []routing.Target) {
+	byService := make(map[string][]routing.Target)
+	byID := make(map[string]routing.Target, len(targets))
+	for _, t := range targets {
+		byService[t.Service] = append(byService[t.Service], t)
+		byID[t.ID] = t
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.targets, g.byID = byService, byID
+}
+
+// Target returns the target of that id.
+func (g *Groups) Target(id string) (routing.Target, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, ok := g.byID[id]
+	return t, ok
+}
+
+// Zones counts the targets of a service by availability zone.
+func (g *Groups) Zones(service string) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	zones := make(map[string]int)
+	for _, t := range g.targets[service] {
+		zones[t.Zone]++
+	}
+	return zones
+}
+
+// Group implements broker.Source. The scheduler's regions are the availability
+// zones here, because bytes between zones have a price too.
+func (g *Groups) Group(key broker.GroupKey) (broker.GroupSettings, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	service, ok := g.services[key.Pool]
+	if !ok {
+		return broker.GroupSettings{}, false
+	}
+	extra := serviceExtraSlots
+	if service.Engine {
+		extra = engineExtraSlots
+	}
+	settings := broker.GroupSettings{
+		Config:    scheduler.GroupConfig{Pool: key.Pool, QueueLimit: queueLimit, Links: g.Links},
+		Addresses: make(map[string]string),
+	}
+	for _, t := range g.targets[key.Pool] {
+		settings.Addresses[t.ID] = t.Address
+		settings.Targets = append(settings.Targets, scheduler.Target{
+			Name:                   t.ID,
+			Region:                 t.Zone,
+			Zone:                   t.Zone,
+			Versions:               []string{t.Version},
+			Concurrency:            t.Slots + extra,
+			PrefillTokensPerSecond: initialPrefillPerSecond,
+			DecodeTokensPerSecond:  initialDecodePerSecond,
+			Leaving:                t.Draining,
+			Service:                !service.Engine,
+		})
+	}
+	return settings, true
+}
+
+// Weight implements broker.Source: workspaces of one tier have equal shares.
+func (g *Groups) Weight(string) float64 { return 1 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/basilloom/basilloom/forward"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/routing"
-	"github.com/basilloom/basilloom/scheduler"
 )
 
 // streamBuffer is the size of one read of a stream.
@@ -22,19 +22,19 @@
 }
 
 // relayStream passes on the whole events of a stream as they arrive.
-func (a *attempt) relayStream(ctx context.Context, response *forward.Response) (outcome, scheduler.Result) {
+func (a *attempt) relayStream(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
 	var split events
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := response.Body.Read(buffer)
 		split.add(buffer[:n])
 		if writeErr := a.pass(&split, response); writeErr != nil {
-			return outcome{done: true, refusal: reject(statusCallerGone, writeErr.Error())}, scheduler.ResultCancelled
+			return outcome{done: true, refusal: reject(statusCallerGone, writeErr.Error())}, pb.Result_RESULT_CANCELLED
 		}
 		switch {
 		case errors.Is(err, io.EOF) && split.rest() == 0 && a.out.started:
 			a.out.complete = true
-			return outcome{done: true}, scheduler.ResultServed
+			return outcome{done: true}, pb.Result_RESULT_SERVED
 		case errors.Is(err, io.EOF):
 			return a.streamFailed(ctx, errClosedInEvent)
 		case err != nil:
@@ -93,7 +93,7 @@
 
 // streamFailed judges a stream that broke off. What the caller has of it stays;
 // a resumable stream continues behind its last event.
-func (a *attempt) streamFailed(ctx context.Context, err error) (outcome, scheduler.Result) {
+func (a *attempt) streamFailed(ctx context.Context, err error) (outcome, pb.Result) {
 	o, result := a.bodyFailed(ctx, err)
 	if o.done {
 		return o, result
--- a/internal/instance/beliefs.go
+++ b/internal/instance/beliefs.go
@@ -27,7 +27,9 @@
 	if current := i.gateway.Table(); current != nil && config.Version <= current.Config().Version {
 		return
 	}
-	i.gateway.SetTable(routing.NewTable(config))
+	table := routing.NewTable(config)
+	i.groups.SetTable(table)
+	i.gateway.SetTable(table)
 	i.applyTargets()
 	i.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int64("row", row.Version),
 		zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
@@ -39,7 +41,9 @@
 		return
 	}
 	if i.targets.update(snapshot, time.Now(), i.registry.Restored()) {
-		i.gateway.SetTargets(i.targets.list())
+		i.groups.SetTargets(i.targets.list())
+		i.shared.Refresh()
+		i.alone.Refresh()
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,12 +14,15 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/fleet"
 	"github.com/basilloom/basilloom/forward"
 	"github.com/basilloom/basilloom/gateway"
 	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/peer"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/scheduler"
 	"github.com/basilloom/basilloom/telemetry"
 )
 
@@ -35,6 +38,8 @@
 	memoryShare = 0.6
 	// loadPeriod is the time between two updates of what the peers have on the targets.
 	loadPeriod = 100 * time.Millisecond
+	// refreshPeriod is the time between two looks at the owners of groups.
+	refreshPeriod = 500 * time.Millisecond
 	// rotationTime is how long after SIGTERM callers' new connections still come:
 	// the balancer asks once a second and needs two misses.
 	rotationTime = 2500 * time.Millisecond
@@ -54,9 +59,17 @@
 	pool     *forward.Pool
 	ledger   *quota.Ledger
 	gateway  *gateway.Gateway
+	placer   *gateway.Placer
+	groups   *gateway.Groups
 	fleet    *fleet.Fleet
-	metrics  *telemetry.Metrics
-	leaving  atomic.Bool
+	// shared runs the groups of all instances that this one owns, alone the groups
+	// that it uses while no shared broker answers.
+	shared, alone *broker.Manager
+	peers         *peer.Pool
+	peering       *http.Server
+	crashes       crashes
+	metrics       *telemetry.Metrics
+	leaving       atomic.Bool
 	// incarnation tells this start of the instance from earlier ones.
 	incarnation uint64
 
@@ -85,16 +98,21 @@
 	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
 	i.registry = mirror.NewTable(platform.TableTargets, i.store, log)
 	i.targets = newTargetList(log)
-	i.gateway = gateway.New(i.work, gateway.Settings{
-		Zone: settings.Zone, Dialect: platform.Dialect{}, Pool: i.pool, Ledger: i.ledger,
-		Retries: i.retries,
-		Links:   zoneLinks(settings.Regions), Metrics: requests, Log: log,
+	i.crashes.records = scheduler.NewQuarantine()
+	i.groups = &gateway.Groups{Links: zoneLinks(settings.Regions)}
+	i.placer = &gateway.Placer{Groups: i.groups, Log: log}
+	i.gateway = gateway.New(gateway.Settings{
+		Dialect: platform.Dialect{}, Pool: i.pool, Placer: i.placer, Ledger: i.ledger,
+		Retries: i.retries, Metrics: requests, Log: log,
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
-		Self: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers, Seeds: settings.Seeds,
+		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
 		Tables: []*mirror.Table{i.operator, i.registry}, Describe: i.describe, Received: i.received, Log: log,
 	})
-	return i, err
+	if err != nil {
+		return nil, err
+	}
+	return i, i.assembleBrokers()
 }
 
 // retryShare is the part of the fleet's budget ratio that requests earn; the rest
@@ -144,7 +162,12 @@
 		_ = s.server.Close() // the process ends
 	}
 	running.Wait()
+	i.placer.Shared.Wait()
+	i.placer.Alone.Wait()
+	i.shared.Wait()
+	i.alone.Wait()
 	i.pool.Close()
+	i.peers.Close()
 	return err
 }
 
@@ -162,7 +185,6 @@
 	}{
 		{settings.Callers, i.gateway},
 		{settings.Ready, http.HandlerFunc(i.serveReady)},
-		{settings.Peers, i.fleet.Handler()},
 		{settings.Metrics, i.metrics.Handler},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -174,7 +196,11 @@
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(i.log.Named("http")),
 		}})
 	}
-	return servers, nil
+	listener, err := net.Listen("tcp", settings.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return append(servers, server{listener: listener, server: i.peering}), nil
 }
 
 // serveReady tells the balancer whether callers may be sent here.
@@ -190,6 +216,7 @@
 func (i *Instance) follow(ctx context.Context) {
 	ticker := time.NewTicker(loadPeriod)
 	defer ticker.Stop()
+	var refreshed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -202,6 +229,10 @@
 			i.pool.Prune(now)
 			i.applyTargets()
 			i.takeLoads(now)
+			if now.Sub(refreshed) >= refreshPeriod {
+				i.shared.Refresh()
+				refreshed = now
+			}
 		}
 	}
 }
@@ -213,6 +244,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Load().Grace-graceMargin)
 	defer cancel()
 	i.leaving.Store(true)
+	i.fleet.Leave()
 	i.gateway.Drain()
 	select {
 	case <-time.After(rotationTime):
@@ -228,7 +260,6 @@
 		i.log.Warn("requests in flight were cut", zap.Error(err))
 	}
 	closing.Wait()
-	i.fleet.Leave()
 	i.unregister()
 	i.log.Info("stopped")
 }
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/fleet"
-	"github.com/basilloom/basilloom/gateway"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/scheduler"
@@ -85,17 +86,18 @@
 
 // describe fills this instance's report.
 func (i *Instance) describe(m *pb.FleetReport) {
-	for id, load := range i.gateway.Load() {
+	for id, work := range i.placer.Work() {
 		m.Loads = append(m.Loads, &pb.TargetLoad{
-			Target: fleet.Hash(id), Running: uint32(load.Running), PromptTokens: uint32(load.PromptTokens),
+			Target: fleet.Hash(id), Running: uint32(work.Running), PromptTokens: uint32(work.PromptTokens),
+			AloneRunning: uint32(work.AloneRunning), AlonePromptTokens: uint32(work.AlonePromptTokens),
 		})
 	}
 	for workspace, amount := range i.ledger.Own() {
 		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: fleet.Hash(workspace), Amount: uint64(amount)})
 	}
-	for _, q := range i.gateway.Quarantined() {
+	for _, c := range i.crashes.entries() {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
-			Fingerprint: q.Fingerprint, ValidMs: uint32(q.ValidFor.Milliseconds()), Died: q.Died,
+			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.Died,
 		})
 	}
 }
@@ -111,16 +113,44 @@
 		}
 	}
 	i.ledger.Report(time.Now(), m.GetInstance(), m.GetIncarnation(), spent)
-	if len(m.GetCrashes()) == 0 {
-		return
-	}
 	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
 		entries = append(entries, scheduler.QuarantineEntry{
 			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, Died: c.GetDied(),
 		})
 	}
-	i.gateway.SetQuarantined(entries)
+	i.noteCrashes(entries)
+}
+
+// noteCrashes records requests that crash targets and tells the groups of new ones.
+func (i *Instance) noteCrashes(entries []scheduler.QuarantineEntry) {
+	if !i.crashes.merge(entries) {
+		return
+	}
+	known := i.crashes.entries()
+	i.log.Warn("requests that crash targets", zap.Int("known", len(known)))
+	i.shared.SetQuarantined(known)
+	i.alone.SetQuarantined(known)
+}
+
+// crashes is what this instance knows of requests that crash targets.
+type crashes struct {
+	mu      sync.Mutex
+	records *scheduler.Quarantine
+}
+
+func (c *crashes) merge(entries []scheduler.QuarantineEntry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(entries) > 0 && c.records.Merge(time.Now(), entries)
+}
+
+func (c *crashes) entries() []scheduler.QuarantineEntry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.records.Expire(now)
+	return c.records.Entries(now)
 }
 
 // workspaceNames maps the short forms in reports to workspaces.
@@ -136,23 +166,39 @@
 	return names
 }
 
-// takeLoads adds up what the peers have on the targets.
+// takeLoads tells the groups what they have not granted: the shared broker what
+// instances placed alone, this instance's own groups what all others have.
 func (i *Instance) takeLoads(now time.Time) {
 	i.ledger.SetShare(now, i.fleet.Share(now))
-	sums := make(map[uint32]gateway.Load)
+	alone := make(map[uint32]broker.ForeignLoad)
+	all := make(map[uint32]broker.ForeignLoad)
 	for _, report := range i.fleet.Heard(now) {
 		for _, l := range report.GetLoads() {
-			sum := sums[l.GetTarget()]
-			sum.Running += int(l.GetRunning())
-			sum.PromptTokens += int(l.GetPromptTokens())
-			sums[l.GetTarget()] = sum
+			add(alone, l.GetTarget(), int(l.GetAloneRunning()), int(l.GetAlonePromptTokens()))
+			add(all, l.GetTarget(), int(l.GetRunning()), int(l.GetPromptTokens()))
 		}
 	}
-	loads := make(map[string]gateway.Load, len(sums))
+	for id, w := range i.placer.Work() {
+		add(alone, fleet.Hash(id), w.AloneRunning, w.AlonePromptTokens)
+		add(all, fleet.Hash(id), w.Running-w.AloneRunning, w.PromptTokens-w.AlonePromptTokens)
+	}
+	i.shared.SetForeign(i.byTarget(alone))
+	i.alone.SetForeign(i.byTarget(all))
+}
+
+func add(sums map[uint32]broker.ForeignLoad, target uint32, running, promptTokens int) {
+	sum := sums[target]
+	sum.Running += running
+	sum.PromptTokens += promptTokens
+	sums[target] = sum
+}
+
+func (i *Instance) byTarget(sums map[uint32]broker.ForeignLoad) map[string]broker.ForeignLoad {
+	loads := make(map[string]broker.ForeignLoad, len(sums))
 	for id := range i.targets.targets {
-		if sum, ok := sums[fleet.Hash(id)]; ok {
+		if sum, ok := sums[fleet.Hash(id)]; ok && sum.Running > 0 {
 			loads[id] = sum
 		}
 	}
-	i.gateway.SetForeignLoad(loads)
+	return loads
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -259,6 +259,11 @@
 	return owner, found
 }
 
+// Score ranks an instance as the owner of a key; the highest owns it.
+func Score(key, instance string) uint64 {
+	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(instance))
+}
+
 // mix hashes the combined key and name, because their plain XOR would give
 // related keys related owners.
 func mix(combined uint64) uint64 {
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -57,9 +57,7 @@
 	uncached := t.PromptTokens - cached
 	load := s.load(now)
 	var e estimate
-	if s.prefillEnd.After(now) {
-		e.wait = s.prefillEnd.Sub(now).Seconds()
-	}
+	e.wait = s.promptWait(now).Seconds()
 	e.prefill = s.speed.perToken * float64(uncached)
 	first := s.speed.firstTokenSeconds(uncached)
 	x := g.transferTo(now, t, s.Region)
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -385,6 +385,16 @@
 	}
 }
 
+// SetForeign takes over what others count of their own work on a target: the
+// requests that run there and the prompt tokens that wait for prefill.
+func (g *Group) SetForeign(now time.Time, target string, running, promptTokens int) {
+	g.now = now
+	if s, ok := g.targets[target]; ok {
+		s.setForeign(now, running, promptTokens)
+		g.refreshOpen(s)
+	}
+}
+
 // ObserveCache feeds the prefix index with a target's cache events.
 func (g *Group) ObserveCache(now time.Time, target string, events []CacheEvent) {
 	g.now = now
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -33,7 +33,9 @@
 	// foreign counts the work on the target that this group did not start.
 	foreign  int
 	reported time.Time
-	history  []change
+	// foreignEnd is the estimated end of the prompts of that work, if it is known.
+	foreignEnd time.Time
+	history    []change
 	// prefillEnd is the estimated end of the prompts granted so far.
 	prefillEnd time.Time
 	speed      speed
@@ -104,7 +106,18 @@
 
 // backlogged tells whether further prompts are better held in the group's queue.
 func (s *targetState) backlogged(now time.Time) bool {
-	return s.prefillEnd.Sub(now) > maxPrefillBacklog
+	return s.promptWait(now) > maxPrefillBacklog
+}
+
+// promptWait is the estimated time until the prompts on the target are done.
+func (s *targetState) promptWait(now time.Time) time.Duration {
+	return max(0, s.prefillEnd.Sub(now)) + max(0, s.foreignEnd.Sub(now))
+}
+
+// setForeign takes over what others count of their own work on the target.
+func (s *targetState) setForeign(now time.Time, running, promptTokens int) {
+	s.reported, s.foreign = now, running
+	s.foreignEnd = now.Add(seconds(s.speed.perToken * float64(promptTokens)))
 }
 
 func (s *targetState) started(now time.Time, prefill time.Duration) {
