rollout: version orders with canary, shift, verdict and take-back

Change: pure decisions in rollout/, evidence by route in the instances' reports, one status row written under its version by the instance that owns the order; each instance stops a bad version by itself. A request that finds no target of the version under trial takes another one after a quarter of its objective. Found by the test: requests refused with no_target and deadline while the few new targets were ejected.

--- a/broker/client.go
+++ b/broker/client.go
@@ -198,6 +198,9 @@
 func (call *Call) message(now time.Time) *pb.Ticket {
 	m := proto.CloneOf(call.ticket)
 	m.DeadlineMs = call.deadline.Sub(now).Milliseconds()
+	if m.GetFinishMs() != 0 {
+		m.FinishMs = max(1, m.GetFinishMs()-now.Sub(call.submitted).Milliseconds())
+	}
 	return m
 }
 
--- a/broker/convert.go
+++ b/broker/convert.go
@@ -23,6 +23,7 @@
 		BodyBytes:    m.GetBodyBytes(),
 		Region:       from.GetRegion(),
 		Deadline:     now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Finish:       finish(now, m),
 		Fingerprint:  m.GetFingerprint(),
 		Cancellable:  m.GetCancellable(),
 		Idempotent:   m.GetIdempotent(),
@@ -30,6 +31,14 @@
 	}
 }
 
+// finish is when the whole answer is due; zero if it is not bounded.
+func finish(now time.Time, m *pb.Ticket) time.Time {
+	if m.GetFinishMs() == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(m.GetFinishMs()) * time.Millisecond)
+}
+
 func ticketID(from *pb.Hello, sequence uint64) scheduler.TicketID {
 	return scheduler.TicketID{
 		Instance:    from.GetInstance(),
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -224,6 +224,7 @@
 		PromptTokens: int32(r.call.PromptTokens),
 		OutputTokens: int32(r.expectedOutput()),
 		BodyBytes:    int64(len(r.body)),
+		FinishMs:     max(1, r.left(time.Now()).Milliseconds()),
 		Fingerprint:  r.fingerprint,
 		Idempotent:   r.route.Repeatable(),
 		Avoid:        r.tried,
@@ -234,6 +235,9 @@
 	return t
 }
 
+// routeHash is the short form of the route's name in counts of versions.
+func (r *request) routeHash() uint32 { return uint32(xxhash.Sum64String(r.route.Name)) }
+
 // expectedOutput estimates the generated tokens.
 func (r *request) expectedOutput() int {
 	if r.call.ExpectedOutput > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilloom/basilloom/forward"
 	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/rollout"
 	"github.com/basilloom/basilloom/routing"
 )
 
@@ -24,8 +25,10 @@
 	Placer  *Placer
 	Ledger  *quota.Ledger
 	Retries *quota.Retries
-	Metrics *Metrics
-	Log     *zap.Logger
+	// Rollouts chooses versions while services move to others.
+	Rollouts *rollout.Tracker
+	Metrics  *Metrics
+	Log      *zap.Logger
 }
 
 // Gateway serves callers' requests.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -65,9 +65,15 @@
 		deadline = req.deadline
 	}
 	began := time.Now()
-	s, err := g.settings.Placer.acquire(ctx, req.service, req.ticket(), deadline)
-	req.queued += time.Since(began)
+	service := req.service.Name
+	version, settled := g.settings.Rollouts.Choose(service, req.sends > 0), g.settings.Rollouts.Choose(service, true)
+	s, err := g.place(ctx, req, version, trialDeadline(req, version != settled, deadline))
 	var refused *RefusedError
+	if errors.As(err, &refused) && version != settled {
+		// The few targets of a version under trial may all be out of use.
+		s, err = g.place(ctx, req, settled, deadline)
+	}
+	req.queued += time.Since(began)
 	switch {
 	case err == nil:
 		return s, nil
@@ -83,6 +89,25 @@
 	}
 }
 
+// trialPart is the part of the objective for which a request waits for a target of
+// a version under trial before it takes another version.
+const trialPart = 0.25
+
+// trialDeadline shortens the wait for a version under trial.
+func trialDeadline(req *request, trial bool, deadline time.Time) time.Time {
+	if !trial {
+		return deadline
+	}
+	return req.arrived.Add(time.Duration(trialPart * float64(req.objective())))
+}
+
+// place waits for a slot on a target of the version.
+func (g *Gateway) place(ctx context.Context, req *request, version string, deadline time.Time) (*slot, error) {
+	ticket := req.ticket()
+	ticket.Version = version
+	return g.settings.Placer.acquire(ctx, req.service, ticket, deadline)
+}
+
 // outcome is how one attempt ended.
 type outcome struct {
 	// done is set if the caller has its answer or must not get another one.
@@ -139,6 +164,18 @@
 func (a *attempt) run(ctx context.Context) outcome {
 	result := pb.Result_RESULT_FAILED
 	defer func() { a.slot.release(result, a.first, a.outputTokens()) }()
+	rollouts, service, version := a.gateway.settings.Rollouts, a.req.service.Name, a.slot.target.Version
+	if !rollouts.Allowed(service, version) {
+		// The version was stopped while the request waited.
+		result = pb.Result_RESULT_NOT_DISPATCHED
+		return outcome{free: true, refusal: notRun(http.StatusServiceUnavailable, "the version was stopped", minRetryAfter)}
+	}
+	defer rollouts.Begin(service, version)()
+	defer func() {
+		if result == pb.Result_RESULT_SERVED || result == pb.Result_RESULT_FAILED || result == pb.Result_RESULT_TARGET_DIED {
+			rollouts.Observe(service, a.req.routeHash(), version, result != pb.Result_RESULT_SERVED, a.first)
+		}
+	}()
 	response, err := a.send(ctx)
 	if err != nil {
 		var o outcome
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -71,6 +71,19 @@
 	return t, ok
 }
 
+// Versions returns the ready slots of each version of a service.
+func (g *Groups) Versions(service string) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	versions := make(map[string]int)
+	for _, t := range g.targets[service] {
+		if !t.Draining {
+			versions[t.Version] += t.Slots
+		}
+	}
+	return versions
+}
+
 // Zones counts the targets of a service by availability zone.
 func (g *Groups) Zones(service string) map[string]int {
 	g.mu.Lock()
--- a/internal/instance/beliefs.go
+++ b/internal/instance/beliefs.go
@@ -15,6 +15,7 @@
 // be read leaves the last one in force.
 func (i *Instance) applyConfig() {
 	snapshot := i.operator.Current()
+	i.applyOrders(snapshot)
 	row, ok := snapshot.Rows[platform.KeyConfig]
 	if !ok {
 		return
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,7 +22,9 @@
 	"github.com/basilloom/basilloom/peer"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/rollout"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry"
 )
 
@@ -68,6 +70,8 @@
 	peers         *peer.Pool
 	peering       *http.Server
 	crashes       crashes
+	tracker       *rollout.Tracker
+	status        storage.Table
 	metrics       *telemetry.Metrics
 	leaving       atomic.Bool
 	// incarnation tells this start of the instance from earlier ones.
@@ -100,10 +104,12 @@
 	i.targets = newTargetList(log)
 	i.crashes.records = scheduler.NewQuarantine()
 	i.groups = &gateway.Groups{Links: zoneLinks(settings.Regions)}
+	i.tracker = rollout.NewTracker(i.groups.Versions)
+	i.status = i.store.Table(platform.TableStatus)
 	i.placer = &gateway.Placer{Groups: i.groups, Log: log}
 	i.gateway = gateway.New(gateway.Settings{
 		Dialect: platform.Dialect{}, Pool: i.pool, Placer: i.placer, Ledger: i.ledger,
-		Retries: i.retries, Metrics: requests, Log: log,
+		Retries: i.retries, Rollouts: i.tracker, Metrics: requests, Log: log,
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
@@ -149,6 +155,7 @@
 	running.Go(func() { i.follow(i.work) })
 	running.Go(func() { i.fleet.Run(i.work) })
 	running.Go(func() { i.register(i.work) })
+	running.Go(func() { i.runRollouts(i.work) })
 	running.Go(func() { i.watchSettings(i.work, path, reload) })
 	i.log.Info("instance started", zap.String("callers", settings.Callers), zap.String("store", settings.Store),
 		zap.Uint64("incarnation", i.incarnation))
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -95,6 +95,7 @@
 	for workspace, amount := range i.ledger.Own() {
 		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: fleet.Hash(workspace), Amount: uint64(amount)})
 	}
+	m.Versions = i.tracker.Report()
 	for _, c := range i.crashes.entries() {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
 			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.Died,
@@ -113,6 +114,7 @@
 		}
 	}
 	i.ledger.Report(time.Now(), m.GetInstance(), m.GetIncarnation(), spent)
+	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
 	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
 		entries = append(entries, scheduler.QuarantineEntry{
--- /dev/null
+++ b/internal/instance/rollouts.go
@@ -0,0 +1,121 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/rollout"
+	"github.com/basilloom/basilloom/storage"
+)
+
+const (
+	// decidePeriod is the time between two looks at the moves in progress.
+	decidePeriod = 125 * time.Millisecond
+	// statusPeriod is the time between two readings of the status while a move is in
+	// progress.
+	statusPeriod = 250 * time.Millisecond
+)
+
+// applyOrders takes over the operator's version orders.
+func (i *Instance) applyOrders(snapshot *mirror.Snapshot) {
+	var orders []rollout.Order
+	for key, row := range snapshot.Rows {
+		if !platform.IsOrder(key) {
+			continue
+		}
+		order, err := platform.DecodeOrder(row.Value, row.Version)
+		if err != nil {
+			i.log.Error("version order not used", zap.String("key", key), zap.Int64("row", row.Version), zap.Error(err))
+			continue
+		}
+		orders = append(orders, order)
+	}
+	i.tracker.SetOrders(orders)
+}
+
+// runRollouts follows the moves in progress and, for those that this instance
+// owns, decides on them.
+func (i *Instance) runRollouts(ctx context.Context) {
+	ticker := time.NewTicker(decidePeriod)
+	defer ticker.Stop()
+	var read time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			active := i.tracker.Active()
+			for _, order := range active {
+				if reason, stopped := i.tracker.Judge(order); stopped {
+					i.log.Warn("version stopped by this instance", zap.String("service", order.Service),
+						zap.String("version", order.To), zap.Int64("order", order.ID), zap.String("reason", reason))
+				}
+			}
+			if len(active) == 0 || now.Sub(read) < statusPeriod {
+				continue
+			}
+			read = now
+			for _, order := range active {
+				i.followOrder(ctx, order, now)
+			}
+		}
+	}
+}
+
+// followOrder reads the status of an order and, if this instance owns it, moves it on.
+func (i *Instance) followOrder(ctx context.Context, order rollout.Order, now time.Time) {
+	key := storage.Key{Sort: platform.StatusKey(order.Service)}
+	row, err := i.status.Get(ctx, key)
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
+		i.log.Info("status of a version order not read", zap.String("service", order.Service), zap.Error(err))
+		return
+	}
+	status := platform.Status{Order: order}
+	if err == nil {
+		if status, err = platform.DecodeStatus(row.Value); err != nil {
+			i.log.Warn("status of a version order cannot be read", zap.String("service", order.Service), zap.Error(err))
+		}
+	}
+	if status.Order.ID == order.ID && status.Phase != "" {
+		i.tracker.SetPhase(order.Service, order.ID, status.Phase)
+	}
+	owner, _ := i.fleet.Owner(key.Sort, func(string) bool { return true }, now)
+	if owner == i.settings.Load().Instance {
+		i.decideOrder(ctx, order, status, key, row.Version)
+	}
+}
+
+// decideOrder writes the next phase of an order, if nobody else has written one.
+func (i *Instance) decideOrder(ctx context.Context, order rollout.Order, status platform.Status, key storage.Key, version int64) {
+	clock := i.store.Now()
+	next, reason := rollout.Canary, "order seen"
+	if status.Order.ID == order.ID && status.Phase != "" {
+		routes, running := i.tracker.Evidence(order)
+		_, ready := i.tracker.State(order)
+		next, reason = rollout.Next(rollout.Input{
+			Order: order, Phase: status.Phase, Elapsed: clock - status.Began, InPhase: clock - status.Since,
+			Evidence: routes, FromRunning: running, Ready: ready,
+		})
+		if next == status.Phase {
+			return
+		}
+	} else {
+		status.Began = clock
+	}
+	value, err := platform.EncodeStatus(platform.Status{Order: order, Phase: next, Began: status.Began, Since: clock})
+	if err != nil {
+		i.log.Error("status of a version order not encoded", zap.Error(err))
+		return
+	}
+	_, err = i.status.Put(ctx, key, value, version)
+	i.log.Info("version order decided", zap.String("service", order.Service), zap.String("version", order.To),
+		zap.Int64("order", order.ID), zap.String("phase", string(next)), zap.String("reason", reason), zap.Error(err))
+	if err == nil {
+		i.tracker.SetPhase(order.Service, order.ID, next)
+	}
+}
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -104,9 +104,11 @@
 	return started
 }
 
-func (w *world) register(k *worker.Worker, state string) {
+func (w *world) register(k *worker.Worker, state string) { w.registerVersion(k, state, "v1") }
+
+func (w *world) registerVersion(k *worker.Worker, state, version string) {
 	w.store.Put(platform.TableTargets, k.ID, w.encode(map[string]any{
-		"service": "app", "address": k.Address(), "zone": "z1", "version": "v1", "slots": 4, "state": state, "sequence": 1, "born": 1,
+		"service": "app", "address": k.Address(), "zone": "z1", "version": version, "slots": 4, "state": state, "sequence": 1, "born": 1,
 	}))
 }
 
@@ -123,20 +125,25 @@
 // system gives to outgoing connections are not taken by other tests meanwhile.
 var nextPort atomic.Int32
 
+// freeAddress returns an address whose port and the next one are free.
 func freeAddress(t *testing.T) string {
 	const first, count = 20000, 10000
 	nextPort.CompareAndSwap(0, int32(os.Getpid()%count))
 	for range count {
-		address := fmt.Sprintf("127.0.0.1:%d", first+int(nextPort.Add(1))%count)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			require.NoError(t, listener.Close())
-			return address
+		port := first + int(nextPort.Add(2))%count
+		if isFree(port) && isFree(port+1) {
+			return fmt.Sprintf("127.0.0.1:%d", port)
 		}
 	}
 	t.Fatal("no free port")
 	return ""
 }
 
+func isFree(port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return err == nil && listener.Close() == nil
+}
+
 const settingsFile = `
 node_name = %q
 ip = "127.0.0.1"
@@ -167,7 +174,6 @@
 	n := &node{reload: make(chan os.Signal, 1), ended: make(chan struct{}), path: filepath.Join(w.t.TempDir(), "settings.toml")}
 	_, port, err := net.SplitHostPort(freeAddress(w.t))
 	require.NoError(w.t, err)
-	freeAddress(w.t) // the metrics' port, which follows the peers'
 	text := fmt.Sprintf(settingsFile, name, port, freeAddress(w.t), freeAddress(w.t), strings.TrimPrefix(store, "http://"))
 	require.NoError(w.t, os.WriteFile(n.path, []byte(text), 0o600))
 	settings, err := platform.LoadSettings(n.path)
--- a/moves/evidence.go
+++ b/moves/evidence.go
@@ -74,6 +74,9 @@
 	interval   moment
 }
 
+// Add adds other totals.
+func (t *Totals) Add(other Totals) { t.add(other) }
+
 func (t *Totals) add(other Totals) {
 	t.Requests += other.Requests
 	t.Failures += other.Failures
--- a/moves/verdict.go
+++ b/moves/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -65,6 +66,26 @@
 	return badSince(move, from, to, first)
 }
 
+// AddAnswers adds answers, failures among them, and the sum of the times of those
+// that did not fail.
+func (t *Totals) AddAnswers(answers, failures int64, times time.Duration) {
+	t.addCounter(&pb.EvidenceCounter{Requests: answers, Failures: failures, FirstTokenMsSum: times.Milliseconds()})
+}
+
+// Worse reports whether a version is clearly worse than the old one and why: its
+// failure ratio exceeds the old one by the increase, or its mean time by the factor.
+func Worse(old, current *Totals, increase, slowdown float64) (string, bool) {
+	if failsMore(old, current, increase) {
+		return fmt.Sprintf("%d of %d requests failed, %d of %d with the old version",
+			current.Failures, current.Requests, old.Failures, old.Requests), true
+	}
+	if slower(old.firstToken, current.firstToken, slowdown) {
+		return fmt.Sprintf("%.0f ms to the first answer, %.0f ms with the old version",
+			current.firstToken.mean(), old.firstToken.mean()), true
+	}
+	return "", false
+}
+
 func badSince(move *pb.Move, from, to Series, start int64) (string, bool) {
 	current := to.since(start)
 	old := from.baseline(start, max(baselineRequests, current.Requests))
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,138 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var order = Order{Service: "s", To: "v2", Duration: 12 * time.Second, ID: 7}
+
+func newTracker() *Tracker {
+	t := NewTracker(func(string) map[string]int { return map[string]int{"v1": 24, "v2": 12} })
+	t.SetOrders([]Order{order})
+	return t
+}
+
+// serve sends requests as an instance does; bad gives the failures of the new version.
+func serve(t *Tracker, requests int, bad func(n int) bool) (exposed int) {
+	for n := range requests {
+		version := t.Choose("s", false)
+		failed := version == "v2" && bad(n)
+		if version == "v2" {
+			exposed++
+		}
+		t.Observe("s", 1, version, failed, 50*time.Millisecond)
+	}
+	return exposed
+}
+
+// Guards against a bad version that gets more than its share or is not stopped
+// before its 50th bad answer.
+func TestBadVersionIsStopped(t *testing.T) {
+	tracker := newTracker()
+	exposed := 0
+	for range 100 {
+		exposed += serve(tracker, 20, func(n int) bool { return n%2 == 0 })
+		if _, stopped := tracker.Judge(order); stopped {
+			break
+		}
+	}
+	require.Equal(t, "v1", tracker.Choose("s", false))
+	require.False(t, tracker.Allowed("s", "v2"))
+	require.Less(t, exposed, 50)
+}
+
+// Guards against a version that is bad on one route only, which all routes
+// together hide.
+func TestBadnessOnOneRouteShows(t *testing.T) {
+	tracker := newTracker()
+	for range 300 {
+		tracker.Observe("s", 1, "v1", false, time.Millisecond)
+		tracker.Observe("s", 2, "v1", false, time.Millisecond)
+		tracker.Observe("s", 2, "v2", false, time.Millisecond)
+	}
+	for range 8 {
+		tracker.Observe("s", 1, "v2", true, time.Millisecond)
+	}
+	_, bad := tracker.Judge(order)
+	require.True(t, bad)
+}
+
+// Guards against a good version that fails as the old one does and is taken back.
+func TestGoodVersionIsNotStopped(t *testing.T) {
+	tracker := newTracker()
+	for n := range 5000 {
+		version := tracker.Choose("s", false)
+		tracker.Observe("s", 1, version, n%8 == 0, 50*time.Millisecond)
+	}
+	_, bad := tracker.Judge(order)
+	require.False(t, bad)
+}
+
+// Guards against requests on a version under trial after a failure, and on a
+// version that was taken back although nothing else is left.
+func TestChoose(t *testing.T) {
+	tracker := newTracker()
+	for range 200 {
+		require.Equal(t, "v1", tracker.Choose("s", true))
+	}
+	require.Empty(t, tracker.Choose("other", false))
+	tracker.SetPhase("s", 6, RolledBack)
+	require.True(t, tracker.Allowed("s", "v2"), "the phase belongs to another order")
+	tracker.SetPhase("s", 7, Shifted)
+	require.Equal(t, "v2", tracker.Choose("s", false))
+	tracker.SetPhase("s", 7, RolledBack)
+	require.Equal(t, "v1", tracker.Choose("s", false))
+	tracker.SetPhase("s", 7, Done)
+	require.Equal(t, "v1", tracker.Choose("s", false), "a final phase is never left")
+	only := NewTracker(func(string) map[string]int { return map[string]int{"v2": 12} })
+	only.SetOrders([]Order{order})
+	require.Empty(t, only.Choose("s", false))
+	only.SetPhase("s", 7, RolledBack)
+	require.Equal(t, noVersion, only.Choose("s", false))
+}
+
+// Guards against a move that is not done by its time, that is done while requests
+// run on the old version, or that goes on without evidence.
+func TestNext(t *testing.T) {
+	good := newTracker()
+	serve(good, 1000, func(int) bool { return false })
+	evidence, _ := good.Evidence(order)
+	for _, c := range []struct {
+		name             string
+		phase            Phase
+		elapsed, inPhase time.Duration
+		running          int
+		evidence         map[uint32]*Evidence
+		want             Phase
+	}{
+		{"early", Canary, 5 * time.Second, 5 * time.Second, 0, evidence, Canary},
+		{"time to shift", Canary, 9 * time.Second, 9 * time.Second, 0, evidence, Shifted},
+		{"no evidence", Canary, 11 * time.Second, 9 * time.Second, 0, nil, Canary},
+		{"instances still follow", Shifted, 9 * time.Second, 500 * time.Millisecond, 0, evidence, Shifted},
+		{"requests on the old version", Shifted, 10 * time.Second, 2 * time.Second, 3, evidence, Shifted},
+		{"none left", Shifted, 10 * time.Second, 2 * time.Second, 0, evidence, Done},
+		{"time is up", Shifted, 11500 * time.Millisecond, 2 * time.Second, 3, evidence, Done},
+		{"final", RolledBack, 20 * time.Second, time.Second, 0, evidence, RolledBack},
+	} {
+		next, _ := Next(Input{
+			Order: order, Phase: c.phase, Elapsed: c.elapsed, InPhase: c.inPhase, FromRunning: c.running, Evidence: c.evidence, Ready: true,
+		})
+		require.Equal(t, c.want, next, c.name)
+	}
+}
+
+// Guards against requests that are not counted as running on the old version.
+func TestRunningOnTheOldVersion(t *testing.T) {
+	tracker := newTracker()
+	tracker.Observe("s", 1, "v1", false, time.Millisecond)
+	end := tracker.Begin("s", "v1")
+	tracker.Begin("s", "v2")
+	_, running := tracker.Evidence(order)
+	require.Equal(t, 1, running)
+	end()
+	_, running = tracker.Evidence(order)
+	require.Zero(t, running)
+}
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -46,6 +46,8 @@
 	// first token would be late.
 	paced bool
 	slack float64
+	// finishes tells that the whole answer is expected in time.
+	finishes bool
 	// penalty is the price of the paid link.
 	penalty float64
 }
@@ -65,6 +67,7 @@
 	if s.Service {
 		e.total = max(e.total, x.seconds+s.speed.total)
 	}
+	e.finishes = t.Finish.IsZero() || e.total <= t.Finish.Sub(now).Seconds()
 	spread := loadSpread.Seconds() * float64(load) / float64(s.limiter.limit())
 	e.penalty = x.penalty
 	e.cost = e.total + x.penalty + spread + (g.cfg.PrefillWeight-1)*e.prefill
@@ -96,6 +99,8 @@
 		e := g.estimate(now, &w.ticket, s)
 		e.paced = g.paced(now, w, s)
 		switch {
+		case !e.finishes && g.finishesElsewhere(now, w):
+			// On this target the answer would be cut off and its slot wasted.
 		case !e.inTime:
 			waits = waits || e.inTimeIdle
 		case best == nil || e.better(chosen) || (!chosen.better(e) && s.Name < best.Name):
@@ -109,6 +114,22 @@
 	return best, chosen, waits
 }
 
+// finishesElsewhere tells whether a target of the set, busy or not, would give the
+// whole answer in time once the request begins there.
+func (g *Group) finishesElsewhere(now time.Time, w *waiting) bool {
+	left := w.ticket.Finish.Sub(now).Seconds()
+	for _, s := range w.class.set.members {
+		if s.health.state != HealthGood || s.Leaving || avoids(&w.ticket, s) {
+			continue
+		}
+		whole := s.speed.firstTokenSeconds(w.ticket.PromptTokens) + s.speed.decodeSeconds(w.ticket.OutputTokens, s.limiter.limit())
+		if whole <= left {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsPace tells whether the ticket should wait for a target with a better
 // pace: not when its tier needs every slot, as a lower tier would then be served
 // in its place.
--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -258,3 +258,34 @@
 	t.Logf("prefill not served from a cache: %d tokens with the index, %d without", with, without)
 	require.Less(t, with, without/4)
 }
+
+// Guards against a long answer on a target that is too slow to finish it while
+// another target of the group could.
+func TestChooseKeepsLongAnswersOffSlowTargets(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	targets := []Target{
+		{Name: "fast", Concurrency: 1, PrefillTokensPerSecond: 1e5, DecodeTokensPerSecond: 500},
+		{Name: "slow", Concurrency: 8, PrefillTokensPerSecond: 1e5, DecodeTokensPerSecond: 100},
+	}
+	ticket := func(id uint64, output int) Ticket {
+		return Ticket{
+			ID: TicketID{Sequence: id}, PromptTokens: 10, OutputTokens: output,
+			Deadline: now.Add(time.Second), Finish: now.Add(10 * time.Second),
+		}
+	}
+	granted := func(decisions []Decision) []string {
+		var names []string
+		for _, d := range decisions {
+			if grant, ok := d.(Grant); ok {
+				names = append(names, grant.Target)
+			}
+		}
+		return names
+	}
+	g := NewGroup(GroupConfig{}, rand.New(rand.NewPCG(1, 1)))
+	g.SetTargets(now, targets)
+	require.Equal(t, []string{"fast"}, granted(g.Submit(now, ticket(1, 2000))))
+	require.Empty(t, granted(g.Submit(now, ticket(2, 2000))), "it waits for the fast target")
+	require.Equal(t, []string{"slow"}, granted(g.Submit(now, ticket(3, 200))))
+	require.Equal(t, []string{"slow"}, granted(g.Submit(now, ticket(4, 9000))), "no target finishes it")
+}
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -38,6 +38,8 @@
 	Region string
 	// Deadline is the time by which the first token is due.
 	Deadline time.Time
+	// Finish is the time by which the whole answer is due; zero if it is not bounded.
+	Finish time.Time
 	// Fingerprint identifies the content of the request across repeated sends.
 	Fingerprint uint64
 	// Cancellable permits cancelling the request while it runs.
