--- a/cmd/basilloom/main.go
+++ b/cmd/basilloom/main.go
@@ -31,6 +31,7 @@
 	Move    moveCmd    `cmd:"" help:"Show, watch and cancel version moves."`
 	Targets targetsCmd `cmd:"" help:"List the targets as one instance sees them."`
 	Load    loadCmd    `cmd:"" help:"Generate load and report what the callers saw."`
+	Explain explainCmd `cmd:"" help:"Tell from the logs of instances what became of a request."`
 	Demo    demoCmd    `cmd:"" help:"Run a whole deployment in one process for half a minute."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,41 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const log = `  1.2 front-a {"level":"info","ts":"2026-03-09T02:45:20Z","msg":"configuration in force","instance":"a","config":12}
+not json
+{"level":"info","ts":"2026-03-09T02:45:21Z","msg":"sent","instance":"a","request_id":"r1","target":"t1","elapsed":5}
+{"level":"info","ts":"2026-03-09T02:45:21.1Z","msg":"sent again","instance":"a","request_id":"r1","target":"t1","after":"unexpected EOF","elapsed":105}
+{"level":"info","ts":"2026-03-09T02:45:21.2Z","msg":"sent","instance":"a","request_id":"r1","target":"t2","elapsed":110}
+{"level":"info","ts":"2026-03-09T02:45:21.3Z","msg":"ended","instance":"a","request_id":"r1","target":"t2","status":200,"complete":true,"elapsed":300,"first":290,"queued":5}
+{"level":"info","ts":"2026-03-09T02:45:22Z","msg":"ended","instance":"a","request_id":"r2","status":503,"reason":"deadline","elapsed":390,"queued":389}
+{"level":"info","ts":"2026-03-09T02:45:23Z","msg":"ended","instance":"b","request_id":"r3","status":401,"reason":"unknown key","config":11}
+{"level":"info","ts":"2026-03-09T02:45:24Z","msg":"sent","instance":"a","request_id":"r4","target":"t1"}
+`
+
+// Guards against an explanation that names another cause than the lines show.
+func TestCauses(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	for id, want := range map[string]string{
+		"r1": "sent again after target t1: unexpected EOF",
+		"r2": "refused as not run after 390 ms, 389 ms of them waiting for a slot: deadline",
+		"r3": "rejected by configuration 11 of b: unknown key",
+		"r4": "log was cut",
+	} {
+		e, err := Request(id, lines)
+		require.NoError(t, err)
+		require.Contains(t, e.Cause, want)
+	}
+	e, err := Request("r1", lines)
+	require.NoError(t, err)
+	require.Len(t, e.Lines, 4)
+	require.Len(t, e.Beliefs, 1)
+	_, err = Request("none", lines)
+	require.ErrorIs(t, err, ErrNotFound)
+}
