--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -12,7 +12,7 @@
 // Guards against a setting that the operators' page does not list, or lists
 // with another variable or default.
 func TestOperationsPageListsSettings(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	settings := reflect.TypeFor[Settings]()
 	for i := range settings.NumField() {
@@ -23,7 +23,7 @@
 		if value, ok := field.Tag.Lookup("default"); ok {
 			row += "`" + value + "` |"
 		}
-		require.True(t, strings.Contains(string(page), row), "docs/operations.md has no row %q", row)
+		require.True(t, strings.Contains(string(page), row), "docs/OPERATIONS.md has no row %q", row)
 	}
 }
 
