fleet: silence in units of the report period, tests of owners and shares; capacity of the platform's path

Cause: with more than 40 peers reports come less often than once in the fixed second of silence, so all peers would have counted as silent; and a report of 990 workspaces (12,880 B) exceeded the 8 KB buffer.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,20 +27,19 @@
 	// reportPeriod is the time between two reports to each peer.
 	reportPeriod = 200 * time.Millisecond
 	// maxReportsPerSecond bounds the datagrams of an instance; larger fleets report less often.
-	maxReportsPerSecond = 50
-	// silence is how long a peer may send nothing before its load counts no more
-	// and its part of the quotas is left to it.
-	silence = time.Second
+	maxReportsPerSecond = 200
+	// minSilence is how long a peer may send nothing before its load counts no more
+	// and its part of the quotas is left to it; longer where reports are rarer.
+	minSilence = time.Second
+	// silentPeriods is the number of reports that a silent peer has missed.
+	silentPeriods = 3.5
 	// forgetAfter is how long a silent peer is taken for one that is cut off and
 	// may still spend its part of the quotas.
 	forgetAfter = 25 * time.Second
-	// ownerSilence is how long a peer may send nothing and own groups. Two lost
-	// reports in a row do not move the groups.
-	ownerSilence = 3*reportPeriod + reportPeriod/2
 	// failurePause is how long a reported failure keeps a peer from owning groups.
 	failurePause = 2 * time.Second
-	// maxDatagram bounds a report.
-	maxDatagram = 8 << 10
+	// maxDatagram bounds a report; it is the largest datagram of IPv4 less headers.
+	maxDatagram = 60 << 10
 )
 
 // Hash is the short form of a target's id or a workspace's name in reports.
@@ -128,9 +127,24 @@
 func (f *Fleet) period() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.periodLocked()
+}
+
+func (f *Fleet) periodLocked() time.Duration {
 	return max(reportPeriod, time.Duration(len(f.peers))*time.Second/maxReportsPerSecond)
 }
 
+// ownerSilence is how long a peer may send nothing and own groups. Two lost
+// reports in a row do not move the groups.
+func (f *Fleet) ownerSilence() time.Duration {
+	return time.Duration(silentPeriods * float64(f.periodLocked()))
+}
+
+// isSilent tells whether the peer has sent nothing for too long.
+func (f *Fleet) isSilent(p *Peer, now time.Time) bool {
+	return p.Heard.IsZero() || now.Sub(p.Heard) > max(minSilence, f.ownerSilence())
+}
+
 // Leave tells the peers that this instance ends.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -233,7 +247,7 @@
 	if m.GetIncarnation() < p.Incarnation || (p.Report != nil && m.GetSequence() <= p.Report.GetSequence()) {
 		return false
 	}
-	if !p.Heard.IsZero() && now.Sub(p.Heard) > silence {
+	if !p.Heard.IsZero() && f.isSilent(p, now) {
 		f.settings.Log.Info("peer heard again", zap.String("peer", p.Name), zap.Duration("silent", now.Sub(p.Heard)))
 	}
 	p.Address, p.Heard, p.Report, p.Leaving = m.GetAddress(), now, m, m.GetLeaving()
@@ -295,7 +309,7 @@
 	defer f.mu.Unlock()
 	var reports []*pb.FleetReport
 	for _, p := range f.peers {
-		if !p.Heard.IsZero() && now.Sub(p.Heard) <= silence {
+		if !f.isSilent(p, now) {
 			reports = append(reports, p.Report)
 		}
 	}
@@ -316,11 +330,11 @@
 	}
 	known, heard := 1, 1
 	for _, p := range f.peers {
-		if p.Leaving && now.Sub(p.Heard) > silence {
+		if p.Leaving && f.isSilent(p, now) {
 			continue
 		}
 		known++
-		if !p.Heard.IsZero() && now.Sub(p.Heard) <= silence {
+		if !f.isSilent(p, now) {
 			heard++
 		}
 	}
@@ -347,7 +361,7 @@
 		candidates = append(candidates, &self)
 	}
 	for _, p := range f.peers {
-		if !p.Leaving && !p.Heard.IsZero() && now.Sub(p.Heard) <= ownerSilence && now.After(p.avoidUntil) {
+		if !p.Leaving && !p.Heard.IsZero() && now.Sub(p.Heard) <= f.ownerSilence() && now.After(p.avoidUntil) {
 			candidates = append(candidates, p)
 		}
 	}
