--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -17,8 +17,6 @@
 	PromptTokens, OutputTokens int
 	// ExpectedOutput is the caller's estimate of the generated tokens; 0 without one.
 	ExpectedOutput int
-	// After is the id of the last event that the caller received; empty without one.
-	After string
 }
 
 // Send is what the system adds to a request for a target.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -238,7 +238,7 @@
 
 // sendFailed judges a send without an answer.
 func (a *attempt) sendFailed(ctx context.Context, err error) (outcome, pb.Result) {
-	a.req.tried = append(a.req.tried, a.slot.target.ID)
+	a.tried()
 	var sendErr *forward.Error
 	written := !errors.As(err, &sendErr) || sendErr.Written
 	if !written {
@@ -285,10 +285,11 @@
 	return outcome{refusal: mayHaveRun(http.StatusBadGateway, "the target failed"), reason: reason}
 }
 
+// tried records the target, so that it is not chosen again.
 func (a *attempt) tried() {
-	tried := a.req.tried
-	if len(tried) == 0 || tried[len(tried)-1] != a.slot.target.ID {
-		a.req.tried = append(tried, a.slot.target.ID)
+	id := a.slot.target.ID
+	if n := len(a.req.tried); n == 0 || a.req.tried[n-1] != id {
+		a.req.tried = append(a.req.tried, id)
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := i.registerMetrics(); err != nil {
+		return nil, fmt.Errorf("instance metrics: %w", err)
+	}
 	return i, i.assembleBrokers()
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -207,6 +207,7 @@
 		w.answer(conn, r, http.StatusOK, echo, true)
 	case LateExtra:
 		w.answer(conn, r, http.StatusOK, echo, true)
+		time.Sleep(10 * time.Millisecond)
 		w.raw(conn, "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nstray")
 	case Unframed:
 		w.raw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n\r\n%s", r.Header.Get("Request-Id"), echo))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -104,16 +104,6 @@
 	return 0
 }
 
-// Lost returns for how long the store has not answered; 0 while it does.
-func (t *Table) Lost() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.lost.IsZero() {
-		return 0
-	}
-	return time.Since(t.lost)
-}
-
 // Restored returns when the store last answered again after a loss.
 func (t *Table) Restored() time.Time {
 	t.mu.Lock()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -51,8 +51,6 @@
 	// Objective is the time to the answer or to the first event of a stream that
 	// earns the full credit.
 	Objective time.Duration
-	// MaxPause is the longest pause between two events of a stream that is on time.
-	MaxPause time.Duration
 	// MaxAttempts bounds the targets that one request is sent to.
 	MaxAttempts int
 	// Tier is the rank of the route's requests; 0 is the highest.
@@ -70,8 +68,6 @@
 // Service is a set of targets that do the same work.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one target accepts from all instances.
-	MaxConns int
 	// Engine marks model engines, whose work is counted in tokens.
 	Engine bool
 	// TokensPerEvent is the number of generated tokens in an event of a stream.
@@ -110,10 +106,7 @@
 }
 
 // Limits bounds what callers may send.
-type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-}
+type Limits struct{ MaxBodyBytes int64 }
 
 // Config is one version of the configuration. Versions only increase.
 type Config struct {
