--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -214,7 +214,7 @@
 		Incarnation:   d.self.Incarnation,
 		Region:        d.self.Region,
 		Resolver:      d.groups,
-		Opener:        ticketOpener{pool: d.peers},
+		Opener:        broker.ConnectOpener(d.peers.Client),
 		Local:         d.brokers,
 		ReportFailure: d.members.ReportFailure,
 		Log:           d.log,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -85,29 +85,6 @@
 	return err
 }
 
-// ticketOpener opens ticket streams over the peers' connections.
-type ticketOpener struct {
-	pool *peer.Pool
-}
-
-// Open implements broker.Opener.
-func (o ticketOpener) Open(ctx context.Context, p broker.Peer) (broker.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	return &ticketStream{stream: o.pool.Client(p.Address).Tickets(ctx), cancel: cancel}, nil
-}
-
-type ticketStream struct {
-	stream *connect.BidiStreamForClient[pb.TicketsRequest, pb.TicketsResponse]
-	cancel context.CancelFunc
-}
-
-func (s *ticketStream) Send(m *pb.TicketsRequest) error       { return s.stream.Send(m) }
-func (s *ticketStream) Receive() (*pb.TicketsResponse, error) { return s.stream.Receive() }
-func (s *ticketStream) Close() error {
-	s.cancel()
-	return nil
-}
-
 // configPeers asks other instances for configurations.
 type configPeers struct {
 	self    string
--- a/internal/daemon/wire_bench_test.go
+++ b/internal/daemon/wire_bench_test.go
@@ -117,7 +117,7 @@
 	go func() { _ = server.Serve(listener) }()
 	client := broker.NewClient(ctx, broker.ClientSettings{
 		Self: "entry-1", Incarnation: uint64(time.Now().UnixNano()), Region: "west",
-		Resolver: group, Opener: ticketOpener{pool: peer.NewPool(key)}, Log: zap.NewNop(),
+		Resolver: group, Opener: broker.ConnectOpener(peer.NewPool(key).Client), Log: zap.NewNop(),
 	})
 	b.ReportAllocs()
 	before := cpuTime(b)
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -62,27 +62,6 @@
 // Owner implements broker.Resolver.
 func (o ownOwner) Owner(broker.GroupKey) (broker.Peer, bool) { return o.self, true }
 
-// ticketOpener opens ticket streams over the peers' connections.
-type ticketOpener struct{ pool *peer.Pool }
-
-// Open implements broker.Opener.
-func (o ticketOpener) Open(ctx context.Context, p broker.Peer) (broker.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	return &ticketStream{stream: o.pool.Client(p.Address).Tickets(ctx), cancel: cancel}, nil
-}
-
-type ticketStream struct {
-	stream *connect.BidiStreamForClient[pb.TicketsRequest, pb.TicketsResponse]
-	cancel context.CancelFunc
-}
-
-func (s *ticketStream) Send(m *pb.TicketsRequest) error       { return s.stream.Send(m) }
-func (s *ticketStream) Receive() (*pb.TicketsResponse, error) { return s.stream.Receive() }
-func (s *ticketStream) Close() error {
-	s.cancel()
-	return nil
-}
-
 // ticketService serves the ticket streams of the other instances.
 type ticketService struct {
 	basilloomv1connect.UnimplementedPeerServiceHandler
@@ -112,7 +91,7 @@
 		Local: i.alone, MaxSilence: brokerSilence, AnswerTimeout: brokerAnswer, OwnerCheck: ownerCheck, Log: i.log,
 	}
 	i.placer.Alone = broker.NewClient(i.work, client)
-	client.Resolver, client.Opener, client.Local = sharedOwner{i}, ticketOpener{i.peers}, i.shared
+	client.Resolver, client.Opener, client.Local = sharedOwner{i}, broker.ConnectOpener(i.peers.Client), i.shared
 	client.ReportFailure = i.fleet.ReportFailure
 	i.placer.Shared = broker.NewClient(i.work, client)
 	mux := http.NewServeMux()
