gateway: one place that promises an unrun request; dead code removed

Read-through of the change. The choice between a refusal as not run and a 502 stood in two places and was missing in a third: a repeat that found its version stopped answered 503 although an earlier attempt may have run. All three now call notSent. broker.Call.Withdraw had no caller, Totals.Add was a copy of add.

--- a/broker/client.go
+++ b/broker/client.go
@@ -170,12 +170,6 @@
 	return min(now.Sub(time.Unix(0, heard)), now.Sub(call.submitted))
 }
 
-// Withdraw takes the ticket back, as after the end of Wait's context. A grant
-// that was made meanwhile is given back.
-func (call *Call) Withdraw() {
-	call.link.do(func() { call.link.withdraw(call) })
-}
-
 // PromptTokens is the ticket's estimate of the prompt's length.
 func (call *Call) PromptTokens() int32 { return call.ticket.GetPromptTokens() }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -141,6 +141,15 @@
 	return g.settings.Retries.Spend(req.service.Name)
 }
 
+// notSent refuses a request of which the last attempt ran nothing. It promises
+// that the request did not run only if no earlier attempt may have run it.
+func (r *request) notSent(message string) *Refusal {
+	if r.ran {
+		return mayHaveRun(http.StatusBadGateway, message)
+	}
+	return notRun(http.StatusServiceUnavailable, message, minRetryAfter)
+}
+
 // maxFree bounds the targets that a request finds unreachable.
 const maxFree = 4
 
@@ -168,7 +177,7 @@
 	if !rollouts.Allowed(service, version) {
 		// The version was stopped while the request waited.
 		result = pb.Result_RESULT_NOT_DISPATCHED
-		return outcome{free: true, refusal: notRun(http.StatusServiceUnavailable, "the version was stopped", minRetryAfter)}
+		return outcome{free: true, refusal: a.req.notSent("the version was stopped")}
 	}
 	defer rollouts.Begin(service, version)()
 	defer func() {
@@ -246,11 +255,8 @@
 			return outcome{done: true, refusal: reject(statusCallerGone, "the caller closed the connection")},
 				pb.Result_RESULT_NOT_DISPATCHED
 		}
-		refusal := notRun(http.StatusServiceUnavailable, "the target could not be reached", minRetryAfter)
-		if a.req.ran {
-			refusal = mayHaveRun(http.StatusBadGateway, "the target could not be reached")
-		}
-		return outcome{free: true, refusal: refusal, reason: err.Error()}, pb.Result_RESULT_NOT_DISPATCHED
+		return outcome{free: true, refusal: a.req.notSent("the target could not be reached"), reason: err.Error()},
+			pb.Result_RESULT_NOT_DISPATCHED
 	}
 	a.req.sends++
 	a.req.ran = true
@@ -297,11 +303,7 @@
 func (a *attempt) notRun(response *forward.Response) (outcome, pb.Result) {
 	a.tried()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxPlainAnswer)) // to keep the connection
-	refusal := notRun(http.StatusServiceUnavailable, "the target did not run the request", minRetryAfter)
-	if a.req.ran {
-		refusal = mayHaveRun(http.StatusBadGateway, "the target did not run the request again")
-	}
-	return outcome{refusal: refusal, reason: "not run: " + response.Status}, pb.Result_RESULT_NOT_DISPATCHED
+	return outcome{refusal: a.req.notSent("the target did not run the request"), reason: "not run: " + response.Status}, pb.Result_RESULT_NOT_DISPATCHED
 }
 
 // relayPlain reads a whole answer and passes it on.
--- a/moves/evidence.go
+++ b/moves/evidence.go
@@ -75,9 +75,7 @@
 }
 
 // Add adds other totals.
-func (t *Totals) Add(other Totals) { t.add(other) }
-
-func (t *Totals) add(other Totals) {
+func (t *Totals) Add(other Totals) {
 	t.Requests += other.Requests
 	t.Failures += other.Failures
 	t.firstToken.add(other.firstToken)
@@ -118,7 +116,7 @@
 	var sum Totals
 	for _, w := range s {
 		if w.Window >= window {
-			sum.add(w.Totals)
+			sum.Add(w.Totals)
 		}
 	}
 	return sum
@@ -133,7 +131,7 @@
 			break
 		}
 		if w.Window < window {
-			sum.add(w.Totals)
+			sum.Add(w.Totals)
 		}
 	}
 	return sum
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -11,7 +11,7 @@
 // Tracker is one instance's view of the moves: which version its requests take
 // and what it and its peers have seen of the versions.
 type Tracker struct {
-	// Versions returns the ready slots of each version of a service.
+	// versions returns the ready slots of each version of a service.
 	versions func(service string) map[string]int
 
 	mu    sync.Mutex
