broker: no slot is held for requests that ended while the entry had no stream

They end without a stream, so the group counts them for OrphanGrace (10 s) and, when they exceed their expected time, ejects the target as hanging. Tickets of the other entries then wait for the probe and are refused with "deadline" at 20 s, as was seen.

Changed: an entry that returns names what still runs, and the rest of its slots is freed (EntryReturned); a link without calls opens a stream to an owner that may count ended calls; requests of an entry without a stream do not make a target hang; a session of a group that stopped before it handled the join ends instead of taking tickets that nobody decides.

--- a/broker/link.go
+++ b/broker/link.go
@@ -32,6 +32,10 @@
 	out      *pb.TicketsRequest
 	backoff  time.Duration
 	retryAt  time.Time
+	// owed holds the owners that may count requests of this entry as running
+	// although they have ended, because the stream that would have told it is
+	// gone, and until when they may.
+	owed map[string]time.Time
 	// ping is set while an empty request is to be sent.
 	ping bool
 	// heard is when the owner last answered; asked is when an unanswered empty
@@ -56,6 +60,7 @@
 		calls:    make(map[uint64]*Call),
 		received: make(chan received, sessionQueue),
 		out:      &pb.TicketsRequest{},
+		owed:     make(map[string]time.Time),
 	}
 }
 
@@ -111,9 +116,9 @@
 }
 
 // connect opens a stream to the owner and sends what the owner must know. A link
-// without calls stays closed.
+// stays closed without calls, unless the owner may count ended ones as running.
 func (l *link) connect(ctx context.Context) {
-	if l.stream != nil || len(l.calls) == 0 || time.Now().Before(l.retryAt) {
+	if l.stream != nil || (len(l.calls) == 0 && len(l.owed) == 0) || time.Now().Before(l.retryAt) {
 		return
 	}
 	owner, ok := l.client.settings.Resolver.Owner(l.key)
@@ -121,6 +126,9 @@
 		l.delayReconnect()
 		return
 	}
+	if len(l.calls) == 0 && !l.owes(owner.Name) {
+		return
+	}
 	hello := &pb.Hello{
 		Instance:    l.client.settings.Self,
 		Incarnation: l.client.settings.Incarnation,
@@ -137,6 +145,7 @@
 	}
 	l.stream, l.peer = stream, owner
 	l.heard, l.asked = time.Now(), time.Time{}
+	delete(l.owed, owner.Name)
 	go l.receive(ctx, stream, owner.Name)
 	l.out = l.resend()
 	l.out.Hello = hello
@@ -344,6 +353,14 @@
 	}
 }
 
+// owes tells whether the owner may count ended requests of this entry as running.
+func (l *link) owes(owner string) bool {
+	now := time.Now()
+	maps.DeleteFunc(l.owed, func(_ string, until time.Time) bool { return now.After(until) })
+	_, ok := l.owed[owner]
+	return ok
+}
+
 func (l *link) hasWaiting() bool {
 	for _, call := range l.calls {
 		if call.state == callWaiting {
@@ -386,6 +403,8 @@
 	if l.stream == nil {
 		return
 	}
+	// Also without running calls: ends that were sent last may be lost.
+	l.owed[l.peer.Name] = time.Now().Add(scheduler.OrphanGrace)
 	_ = l.stream.Close() // the peer notices the end of the stream either way
 	l.stream = nil
 	l.ping = false
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -92,6 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return m.joinRunner(r, hello)
+}
+
+func (m *Manager) joinRunner(r *runner, hello *pb.Hello) (*Session, error) {
 	s := &Session{
 		hello:  hello,
 		runner: r,
@@ -345,6 +349,9 @@
 		case <-session.closed:
 			_ = stream.Send(&pb.TicketsResponse{NotBroker: unknownOwner})
 			return
+		case <-session.runner.done:
+			_ = stream.Send(&pb.TicketsResponse{NotBroker: unknownOwner})
+			return
 		case response := <-session.out:
 			if err := stream.Send(response); err != nil {
 				return
--- a/broker/rejoin_test.go
+++ b/broker/rejoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -28,3 +29,34 @@
 		}
 	})
 }
+
+// Guards against an entry that keeps a stream to a group that stopped before it
+// knew of the stream: nobody decides the entry's tickets, and nothing tells it.
+func TestSessionOfStoppedGroupEnds(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		m := f.managers["a"]
+		r, err := m.runner(testKey)
+		require.NoError(t, err)
+		r.cancel()
+		<-r.done
+		for range 32 { // the stopped group's queue takes about half of them
+			s, err := m.joinRunner(r, &pb.Hello{Instance: "entry", Incarnation: 1})
+			if err != nil {
+				continue
+			}
+			ended := make(chan error, 1)
+			go func() {
+				_, err := s.Receive()
+				ended <- err
+			}()
+			select {
+			case err := <-ended:
+				require.ErrorIs(t, err, io.EOF)
+			case <-time.After(time.Second):
+				require.Fail(t, "the session did not end")
+			}
+			require.Error(t, s.Send(&pb.TicketsRequest{}))
+		}
+	})
+}
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -65,7 +65,6 @@
 		var decisions []scheduler.Decision
 		select {
 		case <-ctx.Done():
-			r.closeSessions()
 			return
 		case e := <-r.events:
 			decisions = r.batch(e)
@@ -188,12 +187,6 @@
 	}
 }
 
-func (r *runner) closeSessions() {
-	for _, s := range r.sessions {
-		s.close()
-	}
-}
-
 // post queues an event; it fails when the runner has stopped.
 func (r *runner) post(ctx context.Context, e event) error {
 	select {
@@ -257,6 +250,9 @@
 			t := toTicket(now, s.hello, running.GetTicket(), r.weight(running.GetTicket().GetWorkspace()))
 			r.group.Adopt(now, t, running.GetTarget(), time.Duration(running.GetAgeMs())*time.Millisecond)
 		}
+		if m.GetHello() != nil {
+			r.group.EntryReturned(now, s.hello.GetInstance(), s.hello.GetIncarnation())
+		}
 		for _, sequence := range m.GetDispatched() {
 			r.group.Dispatched(now, ticketID(s.hello, sequence))
 		}
--- a/broker/session.go
+++ b/broker/session.go
@@ -8,7 +8,9 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
-// Session is one entry's connection to a group on the instance that owns it.
+// Session is one entry's connection to a group on the instance that owns it. It
+// ends when it is closed or its group stops. A group that stops before it has
+// handled the join does not know of the session.
 type Session struct {
 	hello  *pb.Hello
 	runner *runner
@@ -38,6 +40,8 @@
 	select {
 	case <-s.closed:
 		return io.EOF
+	case <-s.runner.done:
+		return io.EOF
 	default:
 		return s.runner.post(context.Background(), s.runner.handle(s, request))
 	}
@@ -50,6 +54,8 @@
 		return response, nil
 	case <-s.closed:
 		return nil, io.EOF
+	case <-s.runner.done:
+		return nil, io.EOF
 	}
 }
 
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -10,9 +10,9 @@
 
 // Times of a group's records.
 const (
-	// orphanGrace is how long running requests of an entry whose stream ended
+	// OrphanGrace is how long running requests of an entry whose stream ended
 	// keep their slot, unless the entry returns and names them again.
-	orphanGrace = 10 * time.Second
+	OrphanGrace = 10 * time.Second
 	// reclaimMemory is how long a reclaimed grant is remembered, for a message
 	// of its dispatch that comes late.
 	reclaimMemory = 10 * time.Second
@@ -366,6 +366,17 @@
 	}
 }
 
+// EntryReturned frees the slots of an entry's requests that ended while it had
+// no stream: it has come back and Adopt was called for all that still run.
+func (g *Group) EntryReturned(now time.Time, instance string, incarnation uint64) {
+	g.now = now
+	for id, r := range g.running {
+		if id.Instance == instance && id.Incarnation == incarnation && !r.orphaned.IsZero() {
+			g.releaseOrphan(now, r)
+		}
+	}
+}
+
 // reclaim takes back a grant that was not used.
 func (g *Group) reclaim(now time.Time, r *run) {
 	g.probeEnded(r)
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -145,6 +145,7 @@
 	complete := func(g *Group) { g.Complete(t0, served(1)) }
 	expire, minute := tick(late), tick(t0.Add(time.Minute))
 	gone := func(g *Group) { g.EntryGone(t0, "i", 1) }
+	returned := func(g *Group) { g.EntryReturned(t0, "i", 1) }
 	remove := func(g *Group) { g.SetTargets(t0, nil) }
 	back := func(g *Group) { g.SetTargets(t0, []Target{{Name: "x", Concurrency: 2}}) }
 	for name, c := range map[string]struct {
@@ -162,6 +163,8 @@
 		"entry gone, unused":         {[]func(*Group){gone}, 0},
 		"entry gone, then returns":   {[]func(*Group){dispatched, gone, adopt(1), minute}, 1},
 		"entry gone for good":        {[]func(*Group){dispatched, gone, minute}, 0},
+		"entry back without it":      {[]func(*Group){dispatched, gone, returned}, 0},
+		"entry back with it":         {[]func(*Group){dispatched, gone, adopt(1), returned, minute}, 1},
 		"other incarnation gone":     {[]func(*Group){func(g *Group) { g.EntryGone(t0, "i", 2) }}, 1},
 		"adopted":                    {[]func(*Group){adopt(2), expire}, 1},
 		"adopted while waiting":      {[]func(*Group){submit(2), submit(3), adopt(3)}, 3},
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -214,7 +214,8 @@
 }
 
 // ejectHanging ejects the targets that hold a request far beyond its expected
-// time and have completed nothing since it was due.
+// time and have completed nothing since it was due. The requests of an entry
+// without a stream do not count: their ends cannot be told.
 func (g *Group) ejectHanging(now time.Time) {
 	for _, r := range g.running {
 		if r.hangs(now) {
@@ -233,7 +234,7 @@
 func (r *run) hangs(now time.Time) bool {
 	h := &r.target.health
 	judged := h.state == HealthGood || (h.state == HealthProbing && h.probe == r.ticket.ID)
-	if !judged || r.cancelled {
+	if !judged || r.cancelled || !r.orphaned.IsZero() {
 		return false
 	}
 	due := r.granted.Add(r.expected)
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -198,3 +198,15 @@
 	require.Equal(t, ReasonQuarantined, refusal.Reason)
 	require.Equal(t, QuarantineTime, refusal.RetryAfter)
 }
+
+// Guards against the ejection of a target for requests whose entry has no stream
+// and cannot tell that they have ended.
+func TestRequestsOfEntryWithoutStreamDoNotHang(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "a", DecodeTokensPerSecond: 500})
+	g.Submit(t0, testTicket(1, func(t *Ticket) { t.OutputTokens = 10 }))
+	g.Dispatched(t0, testID(1))
+	g.EntryGone(t0, "i", 1)
+	g.Tick(t0.Add(OrphanGrace))
+	require.Equal(t, HealthGood, healthOf(g, "a"))
+	require.Equal(t, 1, g.Snapshot()[0].Running)
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -86,13 +86,17 @@
 // releaseOrphans frees the slots of requests whose entry did not return.
 func (g *Group) releaseOrphans(now time.Time) {
 	for _, r := range g.running {
-		if !r.orphaned.IsZero() && now.Sub(r.orphaned) > orphanGrace {
-			g.probeEnded(r)
-			g.stop(now, r)
+		if !r.orphaned.IsZero() && now.Sub(r.orphaned) > OrphanGrace {
+			g.releaseOrphan(now, r)
 		}
 	}
 }
 
+func (g *Group) releaseOrphan(now time.Time, r *run) {
+	g.probeEnded(r)
+	g.stop(now, r)
+}
+
 // pruneSets drops the sets of versions that no target has and no class refers to.
 func (g *Group) pruneSets() {
 	referred := make(map[*versionSet]bool)
