scheduler: the slots of a dead entry are freed at its restart or after 3 s

Changed: a new process of an instance drops the tickets of the earlier ones (EntryReplaced); OrphanGrace is 3 s, twice the longest pause before a living entry opens a new stream.

--- a/broker/runner.go
+++ b/broker/runner.go
@@ -210,6 +210,7 @@
 			r.dropEntry(now, key)
 		}
 		r.sessions[key] = s
+		r.group.EntryReplaced(now, key.instance, key.incarnation)
 		return nil
 	}
 }
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -11,8 +11,9 @@
 // Times of a group's records.
 const (
 	// OrphanGrace is how long running requests of an entry whose stream ended
-	// keep their slot, unless the entry returns and names them again.
-	OrphanGrace = 10 * time.Second
+	// keep their slot, unless the entry returns and names them again. It is twice
+	// the longest pause before an entry opens a new stream (1.5 s, broker.reconnectMax).
+	OrphanGrace = 3 * time.Second
 	// reclaimMemory is how long a reclaimed grant is remembered, for a message
 	// of its dispatch that comes late.
 	reclaimMemory = 10 * time.Second
@@ -367,6 +368,23 @@
 	}
 }
 
+// EntryReplaced drops all tickets of the earlier processes of an instance. The
+// connections to their targets ended with them.
+func (g *Group) EntryReplaced(now time.Time, instance string, incarnation uint64) {
+	g.now = now
+	earlier := func(id TicketID) bool { return id.Instance == instance && id.Incarnation < incarnation }
+	for id, w := range g.queue.byID {
+		if earlier(id) {
+			g.dropWaiting(w)
+		}
+	}
+	for id, r := range g.running {
+		if earlier(id) {
+			g.releaseOrphan(now, r)
+		}
+	}
+}
+
 // EntryReturned frees the slots of an entry's requests that ended while it had
 // no stream: it has come back and Adopt was called for all that still run.
 func (g *Group) EntryReturned(now time.Time, instance string, incarnation uint64) {
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -165,6 +165,8 @@
 		"entry gone for good":        {[]func(*Group){dispatched, gone, minute}, 0},
 		"entry back without it":      {[]func(*Group){dispatched, gone, returned}, 0},
 		"entry back with it":         {[]func(*Group){dispatched, gone, adopt(1), returned, minute}, 1},
+		"entry replaced":             {[]func(*Group){dispatched, func(g *Group) { g.EntryReplaced(t0, "i", 2) }}, 0},
+		"earlier process joins late": {[]func(*Group){dispatched, func(g *Group) { g.EntryReplaced(t0, "i", 1) }}, 1},
 		"other incarnation gone":     {[]func(*Group){func(g *Group) { g.EntryGone(t0, "i", 2) }}, 1},
 		"adopted":                    {[]func(*Group){adopt(2), expire}, 1},
 		"adopted while waiting":      {[]func(*Group){submit(2), submit(3), adopt(3)}, 3},
