scheduler: engines are judged slow by the time between tokens

Their first answers were short ones that waited up to 1.3 s behind the prompts of the restart, 15 times their expected whole time, so they were ejected as slow, and the probes, short ones too, kept them out. A target with few samples was besides compared by the initial value 1.

Changed: of a model engine only the time between tokens counts, answers without one do not; the first samples weigh as a mean. TestShortAnswersDoNotMakeAnEngineSlow fails before and passes after.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -190,7 +190,7 @@
 		switch {
 		case s.health.state != HealthGood:
 			ejected++
-		case s.speed.samples >= slownessSamples:
+		case s.speed.judged >= slownessSamples:
 			judged = append(judged, s)
 		}
 	}
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -240,3 +241,31 @@
 	require.Empty(t, g.Submit(t0, testTicket(2, nil)))
 	require.Equal(t, testID(100), g.Complete(t0, ended(1, ResultServed))[0].(Grant).Ticket)
 }
+
+// Guards against the ejection of an engine for short answers that waited behind
+// the prompts of others, and for few samples while those of the others are many.
+func TestShortAnswersDoNotMakeAnEngineSlow(t *testing.T) {
+	stream := Completion{PromptTokens: 100, OutputTokens: 100, FirstToken: 40 * time.Millisecond, Total: 540 * time.Millisecond}
+	tag := Completion{PromptTokens: 100, OutputTokens: 7, FirstToken: time.Second, Total: time.Second}
+	for name, c := range map[string]struct {
+		samples []Completion
+	}{
+		"short answers": {slices.Repeat([]Completion{tag}, 10)},
+		"few streams":   {slices.Repeat([]Completion{stream}, slownessSamples)},
+	} {
+		g := testGroup(GroupConfig{})
+		for i := range 4 {
+			s := newTargetState(t0, Target{Name: strconv.Itoa(i), DecodeTokensPerSecond: 20}, g.holders)
+			samples := slices.Repeat([]Completion{stream}, 100)
+			if i == 0 {
+				samples = c.samples
+			}
+			for _, sample := range samples {
+				s.speed.observe(t0, sample, backlog{}, 1)
+			}
+			g.order = append(g.order, s)
+		}
+		g.ejectSlow(t0)
+		require.Equal(t, HealthGood, g.order[0].health.state, name)
+	}
+}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -112,7 +112,8 @@
 	// slowness is measured time over the initial estimate's, so that hardware
 	// generations with different configured speeds compare.
 	slowness float64
-	samples  int
+	// judged counts the requests that entered slowness.
+	judged int
 }
 
 func newSpeed(now time.Time, t Target) speed {
@@ -148,15 +149,13 @@
 	time   time.Duration
 }
 
-// observe learns from a served request and returns its time over the initial
-// estimate. ahead is the part of the first token's time that was predicted to be
+// observe learns from a served request and returns its slowness. ahead is the part of the first token's time that was predicted to be
 // spent behind other prompts. It enters the fit as tokens: as a time it would
 // make a wait that was predicted too short pass as the target's overhead, and
 // the next wait would be predicted shorter still.
 func (s *speed) observe(now time.Time, c Completion, ahead backlog, batch int) float64 {
 	uncached := float64(max(0, c.PromptTokens-c.CachedTokens))
 	first := c.FirstToken.Seconds()
-	expected := s.priorSeconds(uncached, c.OutputTokens, batch)
 	if first > 0 {
 		tokens := uncached + ahead.tokens
 		// One request behind a prompt that the group does not know of must not
@@ -169,18 +168,36 @@
 	s.refresh()
 	s.known = true
 	s.measured = now
-	s.samples++
 	if s.total == 0 {
 		s.total = c.Total.Seconds()
 	}
 	s.total += errorWeight * (c.Total.Seconds() - s.total)
-	ratio := (c.Total.Seconds() - math.Min(ahead.time.Seconds(), first)) / expected
+	ratio, ok := s.ratio(c, uncached, ahead, batch)
+	if !ok {
+		return s.slowness
+	}
+	s.judged++
 	// One request of an outlying length must not make an outlier of its target.
 	sample := math.Min(ratio, maxSlownessJump*s.slowness)
-	s.slowness = math.Max(minSlowness, s.slowness+slownessWeight*(sample-s.slowness))
+	weight := math.Max(slownessWeight, 1/float64(s.judged))
+	s.slowness = math.Max(minSlowness, s.slowness+weight*(sample-s.slowness))
 	return ratio
 }
 
+// ratio is a request's time over the initial estimate. Of a model engine only the
+// time between tokens counts: a short answer may wait many times its own length
+// behind the prompts of others. It reports false for an engine's answer without one.
+func (s *speed) ratio(c Completion, uncached float64, ahead backlog, batch int) (float64, bool) {
+	if interval, ok := tokenInterval(c); ok {
+		return interval.Seconds() / s.priorInterval(batch), true
+	}
+	if c.OutputTokens > 0 {
+		return 0, false
+	}
+	whole := c.Total.Seconds() - math.Min(ahead.time.Seconds(), c.FirstToken.Seconds())
+	return whole / s.priorSeconds(uncached, c.OutputTokens, batch), true
+}
+
 // check compares an estimate of a first token with its time.
 func (s *speed) check(estimated, measured time.Duration) {
 	if measured > 0 {
@@ -208,15 +225,20 @@
 
 // forgetSlowness has an ejected target judged anew after its probe.
 func (s *speed) forgetSlowness() {
-	s.slowness, s.samples = 1, 0
+	s.slowness, s.judged = 1, 0
 }
 
 // priorSeconds is the whole time of a request by the initial estimate.
 func (s *speed) priorSeconds(uncached float64, output, batch int) float64 {
-	p, d := s.firstToken.prior, s.interval.prior
+	p := s.firstToken.prior
 	first := p[0].y + (p[1].y-p[0].y)*uncached/priorTokens
-	step := d[0].y + (d[1].y-d[0].y)*float64(batch)/priorBatch
-	return first + step*float64(output)
+	return first + s.priorInterval(batch)*float64(output)
+}
+
+// priorInterval is the time between tokens by the initial estimate.
+func (s *speed) priorInterval(batch int) float64 {
+	d := s.interval.prior
+	return d[0].y + (d[1].y-d[0].y)*float64(batch)/priorBatch
 }
 
 // firstTokenSeconds estimates the prefill of uncached prompt tokens.
