scheduler: engines of guessed speed are compared with their own past

Target.GuessedSpeed has such a target compared with the least mean of its own earlier ratios. Answers of fewer than 64 tokens do not tell an engine's speed. TestGuessedSpeedsAreComparedWithThePast and the case "short streams" fail before and pass after.

--- a/broker/runner.go
+++ b/broker/runner.go
@@ -70,6 +70,7 @@
 			decisions = r.batch(e)
 		case <-ticker.C:
 			decisions = r.handleEvent(r.group.Tick)
+			r.logHealth()
 		}
 		r.deliver(time.Now(), decisions)
 		r.askFloors(ctx, decisions)
@@ -77,6 +78,18 @@
 	}
 }
 
+// logHealth tells of targets that get no more requests, or get them again.
+func (r *runner) logHealth() {
+	for _, c := range r.group.HealthChanges() {
+		if c.State == scheduler.HealthGood {
+			r.log.Info("target back", zap.String("target", c.Target))
+			continue
+		}
+		r.log.Info("target ejected", zap.String("target", c.Target), zap.String("cause", string(c.Cause)),
+			zap.Duration("backoff", c.Backoff))
+	}
+}
+
 // askFloors sends the group's floor requests to the siblings.
 func (r *runner) askFloors(ctx context.Context, decisions []scheduler.Decision) {
 	for _, d := range decisions {
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -86,6 +86,33 @@
 	ejected time.Time
 	// lastDone is the time of the last completion.
 	lastDone time.Time
+	// told is the state that HealthChanges last told.
+	told HealthState
+}
+
+// HealthChange tells that a target was ejected or is back.
+type HealthChange struct {
+	Target string
+	State  HealthState
+	Cause  EjectCause
+	// Backoff is the time until a probe.
+	Backoff time.Duration
+}
+
+// HealthChanges returns the targets that were ejected, or came back, since the
+// last call.
+func (g *Group) HealthChanges() []HealthChange {
+	var changes []HealthChange
+	for _, s := range g.order {
+		h := &s.health
+		// Only the ends of an ejection are told, not the probes between them.
+		if h.state == h.told || (h.state != HealthGood && h.state != HealthEjected) {
+			continue
+		}
+		h.told = h.state
+		changes = append(changes, HealthChange{Target: s.Name, State: h.state, Cause: h.cause, Backoff: h.backoff})
+	}
+	return changes
 }
 
 func (h *health) eject(now time.Time, cause EjectCause, rng *rand.Rand) {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -251,6 +251,7 @@
 		samples []Completion
 	}{
 		"short answers": {slices.Repeat([]Completion{tag}, 10)},
+		"short streams": {slices.Repeat([]Completion{{PromptTokens: 100, OutputTokens: 14, FirstToken: time.Millisecond, Total: time.Second}}, 10)},
 		"few streams":   {slices.Repeat([]Completion{stream}, slownessSamples)},
 	} {
 		g := testGroup(GroupConfig{})
@@ -269,3 +270,26 @@
 		require.Equal(t, HealthGood, g.order[0].health.state, name)
 	}
 }
+
+// Guards against the ejection of an engine for its hardware where no speeds are
+// configured, and against an engine that turns slow and keeps its traffic.
+func TestGuessedSpeedsAreComparedWithThePast(t *testing.T) {
+	stream := func(factor float64) Completion {
+		return Completion{PromptTokens: 100, OutputTokens: 101, FirstToken: 40 * time.Millisecond, Total: 40*time.Millisecond + seconds(0.5*factor)}
+	}
+	g := testGroup(GroupConfig{})
+	for i, factor := range []float64{1, 1.5, 2, 7} {
+		s := newTargetState(t0, Target{Name: strconv.Itoa(i), DecodeTokensPerSecond: 300, GuessedSpeed: true}, g.holders)
+		for range 20 {
+			s.speed.observe(t0, stream(factor), backlog{}, 1)
+		}
+		g.order = append(g.order, s)
+	}
+	g.ejectSlow(t0)
+	require.Equal(t, HealthGood, g.order[3].health.state)
+	for range 20 {
+		g.order[0].speed.observe(t0, stream(8), backlog{}, 1)
+	}
+	g.ejectSlow(t0)
+	require.Equal(t, HealthEjected, g.order[0].health.state)
+}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -40,6 +40,10 @@
 	maxFirstTokenJump = 3
 	// minPerToken bounds the learned time of a prompt token, by the initial estimate.
 	minPerToken = 0.1
+	// minJudgedTokens is the least answer of an engine that tells its speed: the
+	// prompt of another of 8,000 tokens, read between two of its tokens, then adds
+	// less than half to the mean time between them.
+	minJudgedTokens = 64
 	// maxSlownessJump bounds a sample by the slowness so far, minSlowness keeps it above 0.
 	maxSlownessJump = 10
 	minSlowness     = 0.01
@@ -109,6 +113,11 @@
 	// total is the mean time of a whole request, in seconds; calls of services
 	// have no tokens to estimate it from.
 	total float64
+	// guessed is set if the initial estimate is not the target's own. past is then
+	// the least mean of earlier ratios, pace the present one of paced requests.
+	guessed    bool
+	past, pace float64
+	paced      int
 	// slowness is measured time over the initial estimate's, so that hardware
 	// generations with different configured speeds compare.
 	slowness float64
@@ -127,6 +136,7 @@
 	}
 	base := firstTokenOverhead.Seconds()
 	s := speed{
+		guessed:    t.GuessedSpeed,
 		firstToken: newFit(point{0, base}, point{priorTokens, base + priorTokens/prefill}),
 		interval:   newFit(point{1, 1 / decode}, point{priorBatch, priorBatchSlowdown / decode}),
 		known:      known,
@@ -149,8 +159,9 @@
 	time   time.Duration
 }
 
-// observe learns from a served request and returns its slowness. ahead is the part of the first token's time that was predicted to be
-// spent behind other prompts. It enters the fit as tokens: as a time it would
+// observe learns from a served request and returns its slowness, or the target's
+// if it tells none. ahead is the part of the first token's time that was predicted
+// to be spent behind other prompts. It enters the fit as tokens: as a time it would
 // make a wait that was predicted too short pass as the target's overhead, and
 // the next wait would be predicted shorter still.
 func (s *speed) observe(now time.Time, c Completion, ahead backlog, batch int) float64 {
@@ -173,26 +184,44 @@
 	}
 	s.total += errorWeight * (c.Total.Seconds() - s.total)
 	ratio, ok := s.ratio(c, uncached, ahead, batch)
+	if ok && s.guessed {
+		ratio, ok = s.overPast(ratio)
+	}
 	if !ok {
 		return s.slowness
 	}
 	s.judged++
 	// One request of an outlying length must not make an outlier of its target.
 	sample := math.Min(ratio, maxSlownessJump*s.slowness)
-	weight := math.Max(slownessWeight, 1/float64(s.judged))
-	s.slowness = math.Max(minSlowness, s.slowness+weight*(sample-s.slowness))
+	s.slowness = math.Max(minSlowness, moved(s.slowness, sample, s.judged))
 	return ratio
 }
 
+// moved is the mean after its n-th sample, the first of which have equal weights.
+func moved(mean, sample float64, n int) float64 {
+	return mean + math.Max(slownessWeight, 1/float64(n))*(sample-mean)
+}
+
+// overPast compares a ratio with the target's past, once there is some.
+func (s *speed) overPast(ratio float64) (float64, bool) {
+	s.paced++
+	s.pace = moved(s.pace, ratio, s.paced)
+	if s.paced < slownessSamples {
+		return 0, false
+	}
+	if s.past == 0 || s.pace < s.past {
+		s.past = math.Max(minSlowness, s.pace)
+	}
+	return ratio / s.past, true
+}
+
 // ratio is a request's time over the initial estimate. Of a model engine only the
-// time between tokens counts: a short answer may wait many times its own length
-// behind the prompts of others. It reports false for an engine's answer without one.
+// time between tokens counts, and only of answers of some length: a short one may
+// wait many times its own time behind the prompts of others.
 func (s *speed) ratio(c Completion, uncached float64, ahead backlog, batch int) (float64, bool) {
-	if interval, ok := tokenInterval(c); ok {
-		return interval.Seconds() / s.priorInterval(batch), true
-	}
 	if c.OutputTokens > 0 {
-		return 0, false
+		interval, ok := tokenInterval(c)
+		return interval.Seconds() / s.priorInterval(batch), ok && c.OutputTokens >= minJudgedTokens
 	}
 	whole := c.Total.Seconds() - math.Min(ahead.time.Seconds(), c.FirstToken.Seconds())
 	return whole / s.priorSeconds(uncached, c.OutputTokens, batch), true
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -60,6 +60,9 @@
 	Concurrency            int
 	PrefillTokensPerSecond float64
 	DecodeTokensPerSecond  float64
+	// GuessedSpeed tells that the two speeds are not the target's own. Its speed is
+	// then compared with its own past instead.
+	GuessedSpeed bool
 	// Leaving targets get no new grant.
 	Leaving bool
 	// Service targets run calls that have no tokens.
