scheduler: failures of the whole group do not eject its targets

Changed: a target is ejected after as many failures in a row as the group's own rate of failures makes unlikely (1 in 1,000), at least 3 and at most 10.

--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -47,9 +47,11 @@
 	// reserved is the target that drains for a suspect.
 	reserved   *targetState
 	quarantine *Quarantine
-	floor      *floor
-	capacity   capacity
-	swept      time.Time
+	// failureRate is the mean of the last completions, 1 for a failure.
+	failureRate float64
+	floor       *floor
+	capacity    capacity
+	swept       time.Time
 	// urgentChecked is when cancellations for deadlines were last considered.
 	urgentChecked time.Time
 	// stash is scratch space of schedule.
@@ -191,7 +193,7 @@
 	if !ok {
 		return
 	}
-	s.health.failed(now, &run{ticket: *t, target: s, granted: now}, false, g.rng)
+	s.health.failed(now, &run{ticket: *t, target: s, granted: now}, false, g.failureLimit(), g.rng)
 	g.refreshOpen(s)
 }
 
@@ -299,12 +301,14 @@
 	s := r.target
 	switch c.Result {
 	case ResultServed:
+		g.noteEnd(false)
 		g.learnServed(now, r, c)
 	case ResultFailed:
-		s.health.failed(now, r, false, g.rng)
+		g.noteEnd(true)
+		s.health.failed(now, r, false, g.failureLimit(), g.rng)
 	case ResultTargetDied:
 		g.quarantine.Died(now, r.ticket.Fingerprint, s.Name)
-		s.health.failed(now, r, true, g.rng)
+		s.health.failed(now, r, true, g.failureLimit(), g.rng)
 		s.index.clear()
 		s.prefillEnd = now
 		s.foreign = 0
@@ -313,7 +317,7 @@
 		s.prefillEnd = s.prefillEnd.Add(-r.prefill)
 		if s.health.probe == r.ticket.ID {
 			// Half-open again would draw the next ticket to an unreachable target at once.
-			s.health.failed(now, r, false, g.rng)
+			s.health.failed(now, r, false, g.failureLimit(), g.rng)
 		}
 	case ResultCancelled:
 		g.probeEnded(r)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,8 +10,16 @@
 
 // Limits of target ejection.
 const (
-	// ejectFailures consecutive failures eject a target.
-	ejectFailures = 3
+	// ejectFailures consecutive failures eject a target, and up to
+	// maxEjectFailures if the whole group fails often.
+	ejectFailures    = 3
+	maxEjectFailures = 10
+	// failureChance is how likely consecutive failures may be, by the group's own
+	// rate of failures, to eject a target for them.
+	failureChance = 0.001
+	// failureWeight is the weight of a new completion in that rate; it follows
+	// within half a second at 100 requests/s.
+	failureWeight = 0.02
 	// ejectSlowness is how many times slower than the group's median a target
 	// must be, each against its own initial estimate, to be ejected.
 	ejectSlowness = 4.0
@@ -171,8 +180,9 @@
 	}
 }
 
-// failed records a failure of a request and ejects the target when it is due.
-func (h *health) failed(now time.Time, r *run, died bool, rng *rand.Rand) {
+// failed records a failure of a request and ejects the target when it died or
+// has failed limit times in a row.
+func (h *health) failed(now time.Time, r *run, died bool, limit int, rng *rand.Rand) {
 	probe := h.state == HealthProbing && h.probe == r.ticket.ID
 	if !probe && (h.state != HealthGood || r.granted.Before(h.ejected)) {
 		return
@@ -185,7 +195,7 @@
 	switch {
 	case died:
 		h.eject(now, EjectDied, rng)
-	case probe || h.failures >= ejectFailures:
+	case probe || h.failures >= limit:
 		h.eject(now, EjectFailures, rng)
 	default:
 		return
@@ -193,6 +203,26 @@
 	h.failures, h.lastFailed = 0, 0
 }
 
+// noteEnd updates the group's rate of failures.
+func (g *Group) noteEnd(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	g.failureRate += failureWeight * (sample - g.failureRate)
+}
+
+// failureLimit is the number of consecutive failures that tell of a fault of one
+// target. Where many targets fail part of their requests, ejecting them would
+// leave the others without slots and gain nothing.
+func (g *Group) failureLimit() int {
+	if g.failureRate <= 0 {
+		return ejectFailures
+	}
+	limit := math.Log(failureChance) / math.Log(math.Min(g.failureRate, 0.99))
+	return min(max(int(math.Ceil(limit)), ejectFailures), maxEjectFailures)
+}
+
 // mayProbe reports whether a ticket is a fit probe of a half-open target.
 func (h *health) mayProbe(now time.Time, t *Ticket, lowest Rank) bool {
 	waited := now.Sub(h.halfOpen)
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
@@ -293,3 +294,53 @@
 	g.ejectSlow(t0)
 	require.Equal(t, HealthEjected, g.order[0].health.state)
 }
+
+// Guards against the ejection of all targets of a group that fails part of its
+// requests everywhere, and against a target that fails alone and keeps its traffic.
+func TestFailuresOfTheWholeGroupDoNotEject(t *testing.T) {
+	var targets []Target
+	for i := range 9 {
+		targets = append(targets, Target{Name: strconv.Itoa(i), Concurrency: 1})
+	}
+	fail := func(g *Group, failing func(target string) float64) (ejected int) {
+		rng := rand.New(rand.NewPCG(1, 1))
+		for round := range 200 {
+			var grants []Grant
+			for n := range len(targets) {
+				id := round*len(targets) + n
+				decisions := g.Submit(t0, testTicket(id, nil))
+				if len(decisions) == 0 {
+					g.Withdraw(t0, testID(id)) // a target is ejected
+					continue
+				}
+				grants = append(grants, decisions[0].(Grant))
+			}
+			for _, grant := range grants {
+				result := ResultServed
+				if rng.Float64() < failing(grant.Target) {
+					result = ResultFailed
+				}
+				g.Complete(t0, Completion{ID: grant.Ticket, Result: result})
+			}
+			if round%10 == 9 {
+				for _, s := range g.order {
+					if s.health.state != HealthGood {
+						ejected++
+						s.health = health{}
+						g.refreshOpen(s)
+					}
+				}
+			}
+		}
+		return ejected
+	}
+	all := fail(testGroup(GroupConfig{}, targets...), func(string) float64 { return 0.4 })
+	require.LessOrEqual(t, all, 4, "of 20 times 9")
+	one := fail(testGroup(GroupConfig{}, targets...), func(target string) float64 {
+		if target == "3" {
+			return 1
+		}
+		return 0
+	})
+	require.Equal(t, 20, one)
+}
