--- a/broker/manager.go
+++ b/broker/manager.go
@@ -53,6 +53,11 @@
 
 	mu      sync.Mutex
 	runners map[GroupKey]*runner
+	// quarantined is what was last told of crashing requests, at quarantinedAt. A
+	// group that starts later must know it, too.
+	quarantined   []scheduler.QuarantineEntry
+	quarantinedAt time.Time
+
 	ctx     context.Context
 	wg      sync.WaitGroup
 	poller  *poller
@@ -140,6 +145,7 @@
 	}
 	m.runners[key] = r
 	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
+	r.events <- r.setQuarantined(m.knownQuarantined(time.Now()))
 	m.wg.Go(func() { r.run(ctx) })
 	if m.poller.reports != nil {
 		m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
@@ -212,14 +218,28 @@
 func (m *Manager) SetQuarantined(entries []scheduler.QuarantineEntry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.quarantined, m.quarantinedAt = entries, time.Now()
 	for _, r := range m.runners {
 		select {
-		case r.events <- func(now time.Time) []scheduler.Decision { return r.group.SetQuarantined(now, entries) }:
+		case r.events <- r.setQuarantined(entries):
 		default: // repeated with the next change of the facts or refresh
 		}
 	}
 }
 
+// knownQuarantined returns the entries that are still valid.
+func (m *Manager) knownQuarantined(now time.Time) []scheduler.QuarantineEntry {
+	elapsed := now.Sub(m.quarantinedAt)
+	var known []scheduler.QuarantineEntry
+	for _, e := range m.quarantined {
+		if e.ValidFor > elapsed {
+			e.ValidFor -= elapsed
+			known = append(known, e)
+		}
+	}
+	return known
+}
+
 // ForeignLoad is work on a target that a group has not granted.
 type ForeignLoad struct {
 	Running      int
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -190,6 +190,10 @@
 	}
 }
 
+func (r *runner) setQuarantined(entries []scheduler.QuarantineEntry) event {
+	return func(now time.Time) []scheduler.Decision { return r.group.SetQuarantined(now, entries) }
+}
+
 func (r *runner) setForeign(loads map[string]ForeignLoad) event {
 	return func(now time.Time) []scheduler.Decision {
 		for _, t := range r.targets {
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -32,6 +32,8 @@
 	store   *platformstore.Store
 	server  *httptest.Server
 	version int64
+	// engine makes the service one of model engines.
+	engine bool
 }
 
 func newWorld(t *testing.T) *world {
@@ -76,16 +78,23 @@
 	return []route{safe, unsafe, stream, resumable, public, quick}
 }
 
-// configure writes a configuration as the operator does.
+// configure writes a configuration as the operator does. The service becomes a
+// model engine if the world's engine is set.
 func (w *world) configure(routes []route, keys []string, rate int) {
+	w.configureTenants(routes, []map[string]any{{
+		"name": "acme", "api_keys": keys, "unit": "tokens", "plain_tokens": 1, "rate_per_s": rate, "burst": rate,
+	}})
+}
+
+func (w *world) configureTenants(routes []route, tenants []map[string]any) {
 	w.version += 3
+	service := map[string]any{"name": "app", "max_conns": 50}
+	if w.engine {
+		service["engine"] = map[string]any{"stride": 1}
+	}
 	w.store.Put(platform.TableOperator, platform.KeyConfig, w.encode(map[string]any{
-		"version": w.version, "routes": routes,
-		"services": []map[string]any{{"name": "app", "max_conns": 50}},
-		"limits":   map[string]any{"max_body_bytes": 1000},
-		"tenants": []map[string]any{{
-			"name": "acme", "api_keys": keys, "unit": "tokens", "plain_tokens": 1, "rate_per_s": rate, "burst": rate,
-		}},
+		"version": w.version, "routes": routes, "services": []map[string]any{service},
+		"limits": map[string]any{"max_body_bytes": 1000}, "tenants": tenants,
 	}))
 }
 
