--- a/broker/manager.go
+++ b/broker/manager.go
@@ -58,9 +58,9 @@
 	quarantined   []scheduler.QuarantineEntry
 	quarantinedAt time.Time
 
-	ctx     context.Context
-	wg      sync.WaitGroup
-	poller  *poller
+	ctx    context.Context
+	wg     sync.WaitGroup
+	poller *poller
 }
 
 // NewManager returns a Manager whose groups stop when ctx ends. Without reports
