scheduler: no target drains for a suspect that will not wait so long

Of the targets that would be idle in time, the first one drains now. TestNoTargetDrainsForNothing fails before and passes after.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -170,7 +170,7 @@
 }
 
 // placeSuspect grants a suspect an idle target, so that others do not fail with
-// it, or has the least loaded target drain for it.
+// it, or has a target drain for it.
 func (g *Group) placeSuspect(now time.Time, w *waiting) (Decision, bool) {
 	var idle []*targetState
 	for _, s := range w.class.set.open {
@@ -187,22 +187,23 @@
 	return nil, false
 }
 
-// reserve has the least loaded target that suits a suspect drain for it.
+// reserve has the target that is expected to be idle first drain for a suspect. A
+// target that would not be idle in time would drain for nothing.
 func (g *Group) reserve(now time.Time, w *waiting) {
-	var least *targetState
+	var first *targetState
 	for _, s := range w.class.set.members {
-		if s.health.state != HealthGood || s.alone || avoids(&w.ticket, s) {
+		if s.health.state != HealthGood || s.alone || avoids(&w.ticket, s) || s.busyUntil.After(w.latest) {
 			continue
 		}
-		if least == nil || s.load(now) < least.load(now) {
-			least = s
+		if first == nil || s.busyUntil.Before(first.busyUntil) {
+			first = s
 		}
 	}
-	if least == nil {
+	if first == nil {
 		return
 	}
-	g.reserved, least.reserved = least, w
-	g.refreshOpen(least)
+	g.reserved, first.reserved = first, w
+	g.refreshOpen(first)
 }
 
 // serveReserved grants the reserved target to its suspect once it is idle, and
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -228,6 +228,7 @@
 func (g *Group) start(now time.Time, r *run) {
 	g.running[r.ticket.ID] = r
 	r.target.started(now, r.prefill)
+	r.target.busyUntil = later(r.target.busyUntil, now.Add(r.expected))
 	r.target.index.dispatched(r.granted, r.target.prefillEnd, r.ticket.Prefix)
 	if r.alone {
 		r.target.alone = true
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -344,3 +344,23 @@
 	})
 	require.Equal(t, 20, one)
 }
+
+// Guards against a target that drains for a suspect which will not wait so long.
+func TestNoTargetDrainsForNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait   time.Duration
+		drains bool
+	}{
+		"in time":  {10 * time.Second, true},
+		"too late": {time.Second, false},
+	} {
+		g := testGroup(GroupConfig{}, Target{Name: "a", Concurrency: 3, DecodeTokensPerSecond: 50})
+		require.Len(t, g.Submit(t0, testTicket(1, func(t *Ticket) { t.OutputTokens = 200 })), 1, name) // 4 s
+		g.SetQuarantined(t0, []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, Died: []string{"z"}}})
+		require.Empty(t, g.Submit(t0, testTicket(2, func(t *Ticket) {
+			t.Fingerprint = 7
+			t.Deadline = t0.Add(c.wait)
+		})), name)
+		require.Equal(t, c.drains, len(g.Submit(t0, testTicket(3, nil))) == 0, name)
+	}
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -47,7 +47,9 @@
 	alone bool
 	// reserved is the waiting suspect for which the target drains.
 	reserved *waiting
-	refs     []setRef
+	// busyUntil is the latest expected end of the requests granted here.
+	busyUntil time.Time
+	refs      []setRef
 }
 
 // change is one change of a target's own count.
