--- a/cmd/basilloom/explain.go
+++ b/cmd/basilloom/explain.go
@@ -17,13 +17,9 @@
 
 // Run implements the command.
 func (c *explainCmd) Run(e *env) error {
-	var lines []explain.Line
-	for _, name := range c.Files {
-		read, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
 	}
 	explanation, err := explain.Request(c.RequestID, lines)
 	if err != nil {
@@ -43,6 +39,18 @@
 	return nil
 }
 
+func readLogs(names []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, name := range names {
+		read, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) (lines []explain.Line, err error) {
 	file, err := os.Open(name)
 	if err != nil {
--- a/cmd/basilloom/main.go
+++ b/cmd/basilloom/main.go
@@ -32,6 +32,7 @@
 	Targets targetsCmd `cmd:"" help:"List the targets as one instance sees them."`
 	Load    loadCmd    `cmd:"" help:"Generate load and report what the callers saw."`
 	Explain explainCmd `cmd:"" help:"Tell from the logs of instances what became of a request."`
+	Report  reportCmd  `cmd:"" help:"Count outcomes and reasons by second from the logs of instances."`
 	Demo    demoCmd    `cmd:"" help:"Run a whole deployment in one process for half a minute."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -73,7 +73,7 @@
 	if table := g.table.Load(); table != nil {
 		fields = append(fields, zap.Int64("config", table.Config().Version))
 	}
-	fields = append(fields, zap.Duration("queued", req.queued), zap.Duration("first", req.first),
+	fields = append(fields, zap.Duration("patience", req.call.Patience), zap.Duration("queued", req.queued), zap.Duration("first", req.first),
 		zap.String("target", req.target), zap.Int("prompt_tokens", req.call.PromptTokens))
 	fields = append(fields, zap.Int("status", status), zap.Int("bytes", out.bytes), zap.Bool("complete", out.complete))
 	g.settings.Log.Info("ended", fields...)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -20,6 +20,10 @@
 // are shown.
 const beliefWindow = 10 * time.Second
 
+// deadlineSlack is how many milliseconds before the end of its time a caller may
+// seem to leave: it counts from before the request reached the instance.
+const deadlineSlack = 100.0
+
 // maxLine bounds a line of a log.
 const maxLine = 1 << 20
 
@@ -38,7 +42,12 @@
 	Workspace string    `json:"workspace,omitempty"`
 	Route     string    `json:"route,omitempty"`
 	Config    int64     `json:"config,omitempty"`
-	// Elapsed, Queued and First are in milliseconds.
+	Group     string    `json:"group,omitempty"`
+	// Cause is why a target was ejected.
+	Cause string `json:"cause,omitempty"`
+	// Patience, Elapsed, Queued and First are in milliseconds. Patience is the time
+	// that the caller gave, 0 if it gave none.
+	Patience float64 `json:"patience,omitempty"`
 	Elapsed  float64 `json:"elapsed,omitempty"`
 	Queued   float64 `json:"queued,omitempty"`
 	First    float64 `json:"first,omitempty"`
@@ -121,6 +130,9 @@
 		return fmt.Sprintf("rejected by configuration %d of %s: %s", last.Config, last.Instance, last.Reason)
 	case last.Status == 503 && last.Sends == 0:
 		return fmt.Sprintf("refused as not run %s: %s", took, last.Reason)
+	case last.Status == 499 && last.Patience > 0 && last.Elapsed >= last.Patience-deadlineSlack:
+		return fmt.Sprintf("the caller's time of %.0f ms was over %s, with %d sends, the last to %s; first event or answer after %.0f ms",
+			last.Patience, took, last.Sends, last.Target, last.First)
 	case last.Status == 499:
 		return fmt.Sprintf("the caller left %s, with %d sends", took, last.Sends)
 	case last.Reason == "":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -16,6 +16,8 @@
 {"level":"info","ts":"2026-03-09T02:45:22Z","msg":"ended","instance":"a","request_id":"r2","status":503,"reason":"deadline","elapsed":390,"queued":389}
 {"level":"info","ts":"2026-03-09T02:45:23Z","msg":"ended","instance":"b","request_id":"r3","status":401,"reason":"unknown key","config":11}
 {"level":"info","ts":"2026-03-09T02:45:24Z","msg":"sent","instance":"a","request_id":"r4","target":"t1"}
+{"level":"info","ts":"2026-03-09T02:45:24Z","msg":"ended","instance":"a","request_id":"r8","target":"t1","status":499,"sends":1,"elapsed":1980,"patience":2000,"first":30}
+{"level":"info","ts":"2026-03-09T02:45:24Z","msg":"ended","instance":"a","request_id":"r9","target":"t1","status":499,"sends":1,"elapsed":500,"patience":2000}
 `
 
 // Guards against an explanation that names another cause than the lines show.
@@ -27,6 +29,8 @@
 		"r2": "refused as not run after 390 ms, 389 ms of them waiting for a slot: deadline",
 		"r3": "rejected by configuration 11 of b: unknown key",
 		"r4": "log was cut",
+		"r8": "the caller's time of 2000 ms was over after 1980 ms",
+		"r9": "the caller left after 500 ms",
 	} {
 		e, err := Request(id, lines)
 		require.NoError(t, err)
--- /dev/null
+++ b/internal/explain/report.go
@@ -0,0 +1,122 @@
+package explain
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Outcome is how a request ended, as its caller sees it.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	// Served requests got the whole answer of a target that ran them.
+	Served Outcome = "served"
+	// Failed requests ended without a whole answer, or with a target's 5xx.
+	Failed Outcome = "failed"
+	// Refused requests did not run and may come back.
+	Refused Outcome = "refused"
+	// Rejected requests are not allowed or cannot be read.
+	Rejected Outcome = "rejected"
+	// Left requests lost their caller.
+	Left Outcome = "left"
+)
+
+// Outcomes lists all outcomes in the order of reports.
+var Outcomes = []Outcome{Served, Failed, Refused, Rejected, Left}
+
+// The range and precision of the times in reports.
+const (
+	maxReportedMs  = 10 * 60 * 1000
+	reportedDigits = 3
+)
+
+// Second counts the requests that ended within one second.
+type Second struct {
+	Time  time.Time       `json:"time"`
+	Ended map[Outcome]int `json:"ended"`
+	// First50 and First95 are quantiles of the time to the first event or answer
+	// of the served requests, in milliseconds.
+	First50 float64 `json:"first_ms_50"`
+	First95 float64 `json:"first_ms_95"`
+	// Changes are what the instances came to believe in that second.
+	Changes []Line `json:"changes,omitempty"`
+
+	first *hdrhistogram.Histogram
+}
+
+// ReasonCount counts the requests with one outcome, status and reason.
+type ReasonCount struct {
+	Outcome Outcome `json:"outcome"`
+	Status  int     `json:"status"`
+	Reason  string  `json:"reason"`
+	Count   int     `json:"count"`
+}
+
+// Report is what the logs tell of all requests.
+type Report struct {
+	Seconds []Second      `json:"seconds"`
+	Reasons []ReasonCount `json:"reasons"`
+	Total   int           `json:"total"`
+}
+
+// outcome classifies the line of a request's end.
+func (l Line) outcome() Outcome {
+	switch {
+	case l.Status == 499:
+		return Left
+	case l.Status == 503 && l.Sends == 0, l.Status == 429:
+		return Refused
+	case l.Status >= 500, l.Status < 300 && !l.Complete:
+		return Failed
+	case l.Status >= 400 && l.Sends == 0:
+		return Rejected
+	}
+	return Served
+}
+
+// Summarize counts outcomes and reasons by second.
+func Summarize(lines []Line) Report {
+	var report Report
+	seconds := make(map[time.Time]*Second)
+	reasons := make(map[ReasonCount]int)
+	for _, l := range lines {
+		at := l.Time.Truncate(time.Second)
+		s, ok := seconds[at]
+		if !ok {
+			s = &Second{Time: at, Ended: make(map[Outcome]int), first: hdrhistogram.New(1, maxReportedMs, reportedDigits)}
+			seconds[at] = s
+		}
+		if l.RequestID == "" && l.Message != "ended" {
+			s.Changes = append(s.Changes, l)
+			continue
+		}
+		if l.Message != "ended" {
+			continue
+		}
+		outcome := l.outcome()
+		report.Total++
+		s.Ended[outcome]++
+		reasons[ReasonCount{Outcome: outcome, Status: l.Status, Reason: l.Reason}]++
+		if outcome == Served && l.First > 0 {
+			_ = s.first.RecordValue(min(int64(l.First), maxReportedMs)) // within the range
+		}
+	}
+	for _, at := range slices.SortedFunc(maps.Keys(seconds), time.Time.Compare) {
+		s := seconds[at]
+		s.First50, s.First95 = float64(s.first.ValueAtQuantile(50)), float64(s.first.ValueAtQuantile(95))
+		report.Seconds = append(report.Seconds, *s)
+	}
+	for r, n := range reasons {
+		r.Count = n
+		report.Reasons = append(report.Reasons, r)
+	}
+	slices.SortFunc(report.Reasons, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Status, b.Status), cmp.Compare(a.Reason, b.Reason))
+	})
+	return report
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -182,14 +182,14 @@
 		return g.grant(now, w, s, best), true
 	}
 	if len(idle) == 0 && g.reserved == nil {
-		g.reserve(now, w)
+		g.reserve(w)
 	}
 	return nil, false
 }
 
 // reserve has the target that is expected to be idle first drain for a suspect. A
 // target that would not be idle in time would drain for nothing.
-func (g *Group) reserve(now time.Time, w *waiting) {
+func (g *Group) reserve(w *waiting) {
 	var first *targetState
 	for _, s := range w.class.set.members {
 		if s.health.state != HealthGood || s.alone || avoids(&w.ticket, s) || s.busyUntil.After(w.latest) {
