broker: a live owner that answered late is chosen again at once

The next instance says that it is not the broker and names the owner, and the entry asked it again and again, each request waiting 0.25 s before it was placed alone. The stream that ends after such an answer was reported as a failure, too.

Changed: OwnerNamed takes the report back; a stream is not read after its peer said that it is not the broker. TestInstanceThatIsNotTheBrokerIsNotReported fails before and passes after. The suspects' pass of the scheduler copies no slice.

--- a/broker/client.go
+++ b/broker/client.go
@@ -52,7 +52,9 @@
 	MaxSilence, AnswerTimeout, OwnerCheck time.Duration
 	// ReportFailure is told of an owner that broke a stream or does not answer; may be nil.
 	ReportFailure func(instance string)
-	Log           *zap.Logger
+	// OwnerNamed is told of the owner that another instance names in its own place; may be nil.
+	OwnerNamed func(instance string)
+	Log        *zap.Logger
 }
 
 // Client submits the tickets of one entry.
--- a/broker/link.go
+++ b/broker/link.go
@@ -177,7 +177,9 @@
 	return request
 }
 
-// receive passes on responses until the stream ends.
+// receive passes on responses until the stream ends. What comes after the word
+// that the peer is not the broker is the end of a stream that both sides leave and
+// no failure.
 func (l *link) receive(ctx context.Context, stream Stream, owner string) {
 	for {
 		response, err := stream.Receive()
@@ -186,7 +188,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if err != nil {
+		if err != nil || response.GetNotBroker() != "" {
 			return
 		}
 	}
@@ -201,6 +203,9 @@
 	if r.stream != l.stream {
 		return // from a stream that was given up
 	}
+	if named := r.response.GetNotBroker(); named != "" && l.client.settings.OwnerNamed != nil {
+		l.client.settings.OwnerNamed(named)
+	}
 	if r.err != nil || r.response.GetNotBroker() != "" {
 		l.lost()
 		return
--- a/broker/rejoin_test.go
+++ b/broker/rejoin_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
@@ -60,3 +62,43 @@
 		}
 	})
 }
+
+// refusingStream names another owner and then ends with an error.
+type refusingStream struct{ told chan struct{} }
+
+func (s *refusingStream) Send(*pb.TicketsRequest) error { return nil }
+
+func (s *refusingStream) Receive() (*pb.TicketsResponse, error) {
+	select {
+	case <-s.told:
+		return nil, errors.New("the peer has left the stream")
+	default:
+		close(s.told)
+		return &pb.TicketsResponse{NotBroker: "b"}, nil
+	}
+}
+
+func (s *refusingStream) Close() error { return nil }
+
+type refusingOpener struct{}
+
+func (refusingOpener) Open(context.Context, Peer) (Stream, error) {
+	return &refusingStream{told: make(chan struct{})}, nil
+}
+
+// Guards against an instance that is avoided because it says that it is not the
+// broker, and against a live owner that is avoided by one entry alone.
+func TestInstanceThatIsNotTheBrokerIsNotReported(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		reported, named := make(chan string, 64), make(chan string, 64)
+		c := NewClient(ctx, ClientSettings{
+			Self: "entry", Incarnation: 1, Resolver: newFakeFleet(ctx, "a"), Opener: refusingOpener{}, Log: zap.NewNop(),
+			ReportFailure: func(instance string) { reported <- instance },
+			OwnerNamed:    func(instance string) { named <- instance },
+		})
+		submit(c, time.Second)
+		time.Sleep(500 * time.Millisecond)
+		require.Empty(t, reported)
+		require.Equal(t, "b", <-named)
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -350,6 +350,17 @@
 	}
 }
 
+// WithdrawFailure lets an instance be chosen again before that time is over: a peer
+// that was chosen in its place holds it for the owner. A live owner that answered
+// late would otherwise be passed over by this instance alone.
+func (f *Fleet) WithdrawFailure(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p, ok := f.peers[name]; ok {
+		p.avoidUntil = time.Time{}
+	}
+}
+
 // Owner chooses the instance that owns a key among those that are heard and
 // stand in a preferred zone, or among all that are heard if none does.
 func (f *Fleet) Owner(key string, preferred func(zone string) bool, now time.Time) (name, address string) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -48,6 +48,10 @@
 	f.ReportFailure(owner)
 	second, _ := f.Owner("k", inZone2, now)
 	require.NotEqual(t, owner, second)
+	f.WithdrawFailure(owner)
+	again, _ := f.Owner("k", inZone2, now)
+	require.Equal(t, owner, again)
+	f.ReportFailure(owner)
 	leaving := report(second, 1, 2, "z2")
 	leaving.Leaving = true
 	require.True(t, f.accept(leaving, now))
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -92,7 +92,7 @@
 	}
 	i.placer.Alone = broker.NewClient(i.work, client)
 	client.Resolver, client.Opener, client.Local = sharedOwner{i}, broker.ConnectOpener(i.peers.Client), i.shared
-	client.ReportFailure = i.fleet.ReportFailure
+	client.ReportFailure, client.OwnerNamed = i.fleet.ReportFailure, i.fleet.WithdrawFailure
 	i.placer.Shared = broker.NewClient(i.work, client)
 	mux := http.NewServeMux()
 	mux.Handle("/"+basilloomv1connect.PeerServiceName+"/", peer.Handler(key, ticketService{brokers: i.shared}))
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 )
 
@@ -139,7 +138,8 @@
 
 // scheduleSuspects grants the suspects of a tier idle targets.
 func (g *Group) scheduleSuspects(now time.Time, tier *tierQueue, decisions []Decision) []Decision {
-	for _, c := range slices.Clone(tier.classes) {
+	// A class that is added meanwhile is one without suspects.
+	for _, c := range tier.classes {
 		if !c.suspects {
 			continue
 		}
