broker: a session ends by its group's context; one record of crashing requests

A session had a closed channel, a once and three checks of its group's end; it has a context derived from the group's now. The manager kept the last entries of crashing requests with their time and aged them itself; it uses scheduler.Quarantine as the instance does. The four callers of health.failed call targetFailed. targetList.missing kept times that nothing read.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -53,28 +53,26 @@
 
 	mu      sync.Mutex
 	runners map[GroupKey]*runner
-	// quarantined is what was last told of crashing requests, at quarantinedAt. A
-	// group that starts later must know it, too.
-	quarantined   []scheduler.QuarantineEntry
-	quarantinedAt time.Time
-
-	ctx    context.Context
-	wg     sync.WaitGroup
-	poller *poller
+	// quarantine is what was told of crashing requests, for groups that start later.
+	quarantine *scheduler.Quarantine
+	ctx        context.Context
+	wg         sync.WaitGroup
+	poller     *poller
 }
 
 // NewManager returns a Manager whose groups stop when ctx ends. Without reports
 // the groups judge their targets by requests and by SetForeign alone.
 func NewManager(ctx context.Context, self string, resolver Resolver, source Source, reports Reports, hooks Hooks, log *zap.Logger) *Manager {
 	return &Manager{
-		self:     self,
-		resolver: resolver,
-		source:   source,
-		hooks:    hooks,
-		log:      log,
-		runners:  make(map[GroupKey]*runner),
-		ctx:      ctx,
-		poller:   &poller{reports: reports},
+		self:       self,
+		resolver:   resolver,
+		source:     source,
+		hooks:      hooks,
+		log:        log,
+		runners:    make(map[GroupKey]*runner),
+		quarantine: scheduler.NewQuarantine(),
+		ctx:        ctx,
+		poller:     &poller{reports: reports},
 	}
 }
 
@@ -101,13 +99,10 @@
 }
 
 func (m *Manager) joinRunner(r *runner, hello *pb.Hello) (*Session, error) {
-	s := &Session{
-		hello:  hello,
-		runner: r,
-		out:    make(chan *pb.TicketsResponse, sessionQueue),
-		closed: make(chan struct{}),
-	}
+	s := &Session{hello: hello, runner: r, out: make(chan *pb.TicketsResponse, sessionQueue)}
+	s.ctx, s.close = context.WithCancel(r.ctx)
 	if err := r.post(m.ctx, r.join(s)); err != nil {
+		s.close()
 		return nil, err
 	}
 	return s, nil
@@ -141,11 +136,12 @@
 		trace:    newTracer(key, m.hooks.Decided),
 		log:      m.log.With(zap.Stringer("group", key)),
 		done:     make(chan struct{}),
+		ctx:      ctx,
 		cancel:   cancel,
 	}
 	m.runners[key] = r
 	r.events <- r.refresh(settings.Targets, m.siblingOwners(key, settings))
-	r.events <- r.setQuarantined(m.knownQuarantined(time.Now()))
+	r.events <- r.setQuarantined(m.quarantine.Entries(time.Now()))
 	m.wg.Go(func() { r.run(ctx) })
 	if m.poller.reports != nil {
 		m.wg.Go(func() { m.poller.run(ctx, r, func() []PollTarget { return m.pollTargets(key) }) })
@@ -218,7 +214,9 @@
 func (m *Manager) SetQuarantined(entries []scheduler.QuarantineEntry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.quarantined, m.quarantinedAt = entries, time.Now()
+	now := time.Now()
+	m.quarantine.Expire(now)
+	m.quarantine.Merge(now, entries)
 	for _, r := range m.runners {
 		select {
 		case r.events <- r.setQuarantined(entries):
@@ -227,19 +225,6 @@
 	}
 }
 
-// knownQuarantined returns the entries that are still valid.
-func (m *Manager) knownQuarantined(now time.Time) []scheduler.QuarantineEntry {
-	elapsed := now.Sub(m.quarantinedAt)
-	var known []scheduler.QuarantineEntry
-	for _, e := range m.quarantined {
-		if e.ValidFor > elapsed {
-			e.ValidFor -= elapsed
-			known = append(known, e)
-		}
-	}
-	return known
-}
-
 // ForeignLoad is work on a target that a group has not granted.
 type ForeignLoad struct {
 	Running      int
@@ -366,10 +351,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-session.closed:
-			_ = stream.Send(&pb.TicketsResponse{NotBroker: unknownOwner})
-			return
-		case <-session.runner.done:
+		case <-session.ctx.Done():
 			_ = stream.Send(&pb.TicketsResponse{NotBroker: unknownOwner})
 			return
 		case response := <-session.out:
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -46,9 +46,11 @@
 	trace  *tracer
 	spans  spans
 	// died is set by a completion that may have changed the quarantine.
-	died   bool
-	log    *zap.Logger
-	done   chan struct{}
+	died bool
+	log  *zap.Logger
+	done chan struct{}
+	// ctx ends when the group is given up, done is closed when its goroutine has ended.
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
--- a/broker/session.go
+++ b/broker/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
@@ -15,8 +14,9 @@
 	hello  *pb.Hello
 	runner *runner
 	out    chan *pb.TicketsResponse
-	closed chan struct{}
-	once   sync.Once
+	// ctx ends with the session: it is derived from the group's.
+	ctx   context.Context
+	close context.CancelFunc
 }
 
 func (s *Session) entry() entryKey {
@@ -33,18 +33,12 @@
 	}
 }
 
-func (s *Session) close() { s.once.Do(func() { close(s.closed) }) }
-
 // Send hands a request to the group.
 func (s *Session) Send(request *pb.TicketsRequest) error {
-	select {
-	case <-s.closed:
-		return io.EOF
-	case <-s.runner.done:
+	if s.ctx.Err() != nil {
 		return io.EOF
-	default:
-		return s.runner.post(context.Background(), s.runner.handle(s, request))
 	}
+	return s.runner.post(context.Background(), s.runner.handle(s, request))
 }
 
 // Receive returns the next response, or io.EOF when the session has ended.
@@ -52,9 +46,7 @@
 	select {
 	case response := <-s.out:
 		return response, nil
-	case <-s.closed:
-		return nil, io.EOF
-	case <-s.runner.done:
+	case <-s.ctx.Done():
 		return nil, io.EOF
 	}
 }
--- a/internal/instance/beliefs.go
+++ b/internal/instance/beliefs.go
@@ -48,12 +48,9 @@
 	}
 }
 
-// Times of the registry's view.
-const (
-	// returnTime is how long after the store's return a missing entry is taken as
-	// lapsed meanwhile: entries of live targets are back within about 2 s.
-	returnTime = 2200 * time.Millisecond
-)
+// returnTime is how long after the store's return a missing entry is taken as
+// lapsed meanwhile: entries of live targets are back within about 2 s.
+const returnTime = 2200 * time.Millisecond
 
 // targetList is the registry as this instance uses it.
 type targetList struct {
@@ -61,14 +58,14 @@
 	version  int64
 	targets  map[string]routing.Target
 	rejected map[string]int64
-	// missing holds when an entry was first missing after an absence of the store.
-	missing map[string]time.Time
+	// missing holds the entries that are missing after an absence of the store.
+	missing map[string]bool
 }
 
 func newTargetList(log *zap.Logger) *targetList {
 	return &targetList{
 		log: log, targets: make(map[string]routing.Target),
-		rejected: make(map[string]int64), missing: make(map[string]time.Time),
+		rejected: make(map[string]int64), missing: make(map[string]bool),
 	}
 }
 
@@ -110,8 +107,8 @@
 	if now.Sub(restored) >= returnTime {
 		return true
 	}
-	if _, ok := l.missing[id]; !ok {
-		l.missing[id] = now
+	if !l.missing[id] {
+		l.missing[id] = true
 		l.log.Info("target entry missing after the store's absence", zap.String("target", id))
 	}
 	return false
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -193,7 +193,7 @@
 	if !ok {
 		return
 	}
-	s.health.failed(now, &run{ticket: *t, target: s, granted: now}, false, g.failureLimit(), g.rng)
+	g.targetFailed(now, &run{ticket: *t, target: s, granted: now}, false)
 	g.refreshOpen(s)
 }
 
@@ -306,10 +306,10 @@
 		g.learnServed(now, r, c)
 	case ResultFailed:
 		g.noteEnd(true)
-		s.health.failed(now, r, false, g.failureLimit(), g.rng)
+		g.targetFailed(now, r, false)
 	case ResultTargetDied:
 		g.quarantine.Died(now, r.ticket.Fingerprint, s.Name)
-		s.health.failed(now, r, true, g.failureLimit(), g.rng)
+		g.targetFailed(now, r, true)
 		s.index.clear()
 		s.prefillEnd = now
 		s.foreign = 0
@@ -318,7 +318,7 @@
 		s.prefillEnd = s.prefillEnd.Add(-r.prefill)
 		if s.health.probe == r.ticket.ID {
 			// Half-open again would draw the next ticket to an unreachable target at once.
-			s.health.failed(now, r, false, g.failureLimit(), g.rng)
+			g.targetFailed(now, r, false)
 		}
 	case ResultCancelled:
 		g.probeEnded(r)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -223,6 +223,11 @@
 	return min(max(int(math.Ceil(limit)), ejectFailures), maxEjectFailures)
 }
 
+// targetFailed records a failure of a request at its target.
+func (g *Group) targetFailed(now time.Time, r *run, died bool) {
+	r.target.health.failed(now, r, died, g.failureLimit(), g.rng)
+}
+
 // mayProbe reports whether a ticket is a fit probe of a half-open target.
 func (h *health) mayProbe(now time.Time, t *Ticket, lowest Rank) bool {
 	waited := now.Sub(h.halfOpen)
