--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/basilloom/basilloom/config"
 	"github.com/basilloom/basilloom/engine"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/internal/drain"
 )
 
 // Sample is what one dispatched request showed of a target version.
@@ -90,17 +91,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return drain.Wait(ctx, &e.inFlight)
 }
 
 // ServeHTTP serves one call.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/forward"
+	"github.com/basilloom/basilloom/internal/drain"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/rollout"
 	"github.com/basilloom/basilloom/routing"
@@ -61,17 +62,7 @@
 
 // Wait returns when all requests have ended, or with the context's error.
 func (g *Gateway) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return drain.Wait(ctx, &g.inFlight)
 }
 
 // ServeHTTP serves one request.
