test/e2e: the address that a link forwards to stays free until its instance listens

The test chose a port at 127.0.0.1, closed the listener, and passed the address on; until the last of four instances started, every listener at port 0 and every outgoing connection of this machine could get that port, among them the instances started before it.

Change: each instance of the test listens at a loopback address of its own, the one that it already used as its source.

--- a/test/e2e/region_test.go
+++ b/test/e2e/region_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -37,15 +38,15 @@
 		},
 		engines: make(map[string]*standin),
 	}
-	args := []string{"--side-a=127.0.1.0/24", "--side-b=127.0.2.0/24"}
+	args := []string{"--side-a=" + sideAddress(1, 0) + "/24", "--side-b=" + sideAddress(2, 0) + "/24"}
 	flags := map[string]string{"west": "--backward", "east": "--forward"}
 	ports := make(map[string]string)
 	var order []string
-	for _, region := range regionNames {
+	for side, region := range regionNames {
 		r.engines[region] = startStandin(t, "engine")
 		for n := range 2 {
 			name := fmt.Sprintf("%s-%d", region, n+1)
-			ports[name] = freePort(t)
+			ports[name] = freePort(t, sideAddress(side+1, n+1))
 			order = append(order, name)
 			args = append(args, flags[region]+"=127.0.0.1:0="+ports[name])
 		}
@@ -59,15 +60,14 @@
 	for n, name := range sorted {
 		addresses[name] = forwards[n]
 	}
-	for n, name := range order {
-		region, number, isInstance := strings.Cut(name, "-")
+	for _, name := range order {
+		region, _, isInstance := strings.Cut(name, "-")
 		if !isInstance {
-			r.engines[region] = &standin{process: r.engines[region].process, address: r.engines[region].address}
 			continue
 		}
-		side := 1 + n/3
-		i := r.startIn(t, name, region, fmt.Sprintf("--source=127.0.%d.%s", side, number),
-			"--peers="+ports[name], "--advertise="+addresses[name])
+		source, _, err := net.SplitHostPort(ports[name])
+		require.NoError(t, err)
+		i := r.startIn(t, name, region, "--source="+source, "--peers="+ports[name], "--advertise="+addresses[name])
 		i.advertise = addresses[name]
 	}
 	r.publishList(t)
@@ -93,15 +93,40 @@
 	return ready.Forwards
 }
 
-// freePort returns an address that nothing listens at.
-func freePort(t *testing.T) string {
+// sideAddress returns the loopback address of an instance of a side; number 0
+// is the side's network. Runs of the tests at the same time differ in it.
+func sideAddress(side, number int) string {
+	const first, count = 16, 200
+	return fmt.Sprintf("127.%d.%d.%d", first+os.Getpid()%count, side, number)
+}
+
+// freePort returns an address of the host that stays free until an instance
+// listens at it. The host is that instance's own: at 127.0.0.1, other listeners
+// and outgoing connections may get the port in the meantime.
+func freePort(t *testing.T, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
+// Guards against an instance that cannot listen at the address that the link
+// forwards to, because the system gave its port away after it was chosen.
+func TestFreePortStaysFree(t *testing.T) {
+	t.Parallel()
+	address := freePort(t, sideAddress(3, 1))
+	_, port, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	// If this fails, the port is already in use there, which serves as well.
+	if other, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+		defer func() { _ = other.Close() }()
+	}
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+}
+
 func regionConfig(addresses map[string]string) map[string]string {
 	files := baseConfig(nil, nil)
 	files["10-regions.yaml"] = "regions:\n- {name: west, zones: [west-a]}\n- {name: east, zones: [east-a]}\n" +
