telemetry/field: one table of the names of log fields

Change: constants with their meaning, used by all packages; no line changes but "shared broker silent", whose field "for" is now "pause".

Not measured: no behaviour changes.

--- a/broker/link.go
+++ b/broker/link.go
@@ -15,6 +15,7 @@
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // link keeps one group's ticket stream to the group's owner. Its goroutine owns
@@ -139,7 +140,7 @@
 	stream, err := l.open(ctx, owner, hello)
 	if err != nil {
 		l.client.settings.Log.Debug("ticket stream not opened",
-			zap.Stringer("group", l.key), zap.String("owner", owner.Name), zap.Error(err))
+			zap.Stringer(field.Group, l.key), zap.String(field.Owner, owner.Name), zap.Error(err))
 		l.delayReconnect()
 		return
 	}
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -14,6 +14,7 @@
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // GroupSettings is what the configuration says of a group.
@@ -134,7 +135,7 @@
 		weight:   m.source.Weight,
 		hooks:    m.hooks,
 		trace:    newTracer(key, m.hooks.Decided),
-		log:      m.log.With(zap.Stringer("group", key)),
+		log:      m.log.With(zap.Stringer(field.Group, key)),
 		done:     make(chan struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
@@ -159,7 +160,7 @@
 		owner, _ := m.resolver.Owner(key)
 		settings, ok := m.source.Group(key)
 		if !ok || owner.Name != m.self {
-			r.log.Info("broker role given up", zap.String("owner", owner.Name))
+			r.log.Info("broker role given up", zap.String(field.Owner, owner.Name))
 			r.cancel()
 			delete(m.runners, key)
 			continue
--- a/broker/poll.go
+++ b/broker/poll.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Periods of the reports that a broker asks its targets for.
@@ -123,7 +124,7 @@
 	if (before >= maxMisses) == (r.misses[target] >= maxMisses) {
 		return nil
 	}
-	r.log.Info("target reports changed", zap.String("target", target), zap.Bool("reports", reported))
+	r.log.Info("target reports changed", zap.String(field.Target, target), zap.Bool(field.Reports, reported))
 	return r.group.SetTargets(now, r.usableTargets())
 }
 
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Sizes and periods of a runner.
@@ -84,11 +85,11 @@
 func (r *runner) logHealth() {
 	for _, c := range r.group.HealthChanges() {
 		if c.State == scheduler.HealthGood {
-			r.log.Info("target back", zap.String("target", c.Target))
+			r.log.Info("target back", zap.String(field.Target, c.Target))
 			continue
 		}
-		r.log.Info("target ejected", zap.String("target", c.Target), zap.String("cause", string(c.Cause)),
-			zap.Duration("backoff", c.Backoff))
+		r.log.Info("target ejected", zap.String(field.Target, c.Target), zap.String(field.Cause, string(c.Cause)),
+			zap.Duration(field.Backoff, c.Backoff))
 	}
 }
 
--- a/cmd/basilloomd/main.go
+++ b/cmd/basilloomd/main.go
@@ -16,6 +16,7 @@
 	"github.com/basilloom/basilloom/internal/instance"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/telemetry"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const traceFlushTimeout = 5 * time.Second
@@ -61,7 +62,7 @@
 	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	i, err := instance.New(settings, log.With(zap.String("instance", settings.Instance)))
+	i, err := instance.New(settings, log.With(zap.String(field.Instance, settings.Instance)))
 	if err != nil {
 		return err
 	}
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	basilloomv1 "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
@@ -260,7 +261,7 @@
 			deliver(subscriber, next)
 		}
 		w.options.Logger.Info("configuration in force",
-			zap.Int64("generation", next.generation), zap.String("hash", next.hash))
+			zap.Int64(field.Generation, next.generation), zap.String(field.Hash, next.hash))
 	}
 	w.mu.Unlock()
 	w.report(conflict)
@@ -302,7 +303,7 @@
 			return true
 		}
 		if err != nil {
-			w.options.Logger.Warn("configuration not fetched", zap.Int64("generation", wanted.generation), zap.Error(err))
+			w.options.Logger.Warn("configuration not fetched", zap.Int64(field.Generation, wanted.generation), zap.Error(err))
 		}
 	}
 	return false
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -18,6 +18,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/moves"
 	"github.com/basilloom/basilloom/storage"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // ErrStaleFence is returned by Engines.Order if the target has seen a higher
@@ -183,7 +184,7 @@
 		c.term = fence
 		c.ordersAfter = now.Add(c.settings.OrderTimeout)
 		c.targets.forget()
-		c.settings.Log.Info("controller role begun", zap.Int64("fence", fence))
+		c.settings.Log.Info("controller role begun", zap.Int64(field.Fence, fence))
 	}
 	if c.targets.refused(fence) {
 		c.supersede("a target has seen a higher fencing token")
@@ -194,13 +195,13 @@
 
 func (c *Controller) end() {
 	if c.term != 0 {
-		c.settings.Log.Info("controller role ended", zap.Int64("fence", c.term))
+		c.settings.Log.Info("controller role ended", zap.Int64(field.Fence, c.term))
 	}
 	c.term = 0
 }
 
 func (c *Controller) supersede(reason string) {
-	c.settings.Log.Warn("controller role superseded", zap.Int64("fence", c.term), zap.String("reason", reason))
+	c.settings.Log.Warn("controller role superseded", zap.Int64(field.Fence, c.term), zap.String(field.Reason, reason))
 	c.superseded = c.term
 	c.end()
 }
@@ -244,7 +245,7 @@
 	defer cancel()
 	written, err := writeRow(ctx, c.settings.Table, next, row.rowVersion())
 	if err != nil {
-		c.settings.Log.Warn("move not written", zap.String("move", move.GetName()), zap.Error(err))
+		c.settings.Log.Warn("move not written", zap.String(field.Move, move.GetName()), zap.Error(err))
 		return
 	}
 	rows[move.GetName()] = written
@@ -294,10 +295,10 @@
 		before = old.MoveRow
 	}
 	fields := []zap.Field{
-		zap.String("move", row.GetMove()),
-		zap.Stringer("phase", row.GetPhase()),
-		zap.Float64("share_percent", row.GetSharePercent()),
-		zap.String("reason", reason),
+		zap.String(field.Move, row.GetMove()),
+		zap.Stringer(field.Phase, row.GetPhase()),
+		zap.Float64(field.SharePercent, row.GetSharePercent()),
+		zap.String(field.Reason, reason),
 	}
 	if row.GetLate() && !before.GetLate() {
 		c.settings.Log.Warn("move is late", fields...)
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -13,6 +13,7 @@
 	"github.com/basilloom/basilloom/config"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
@@ -174,7 +175,7 @@
 func (t *targets) round(ctx context.Context, term int64, ordersAfter time.Time, target *pb.Target) {
 	state, err := t.state(ctx, target)
 	if err != nil {
-		t.settings.Log.Debug("target state unknown", zap.String("target", target.GetName()), zap.Error(err))
+		t.settings.Log.Debug("target state unknown", zap.String(field.Target, target.GetName()), zap.Error(err))
 		return
 	}
 	now := time.Now()
@@ -187,7 +188,7 @@
 		return
 	}
 	if err := t.order(ctx, term, target, versions); err != nil {
-		t.settings.Log.Warn("order failed", zap.String("target", target.GetName()), zap.Error(err))
+		t.settings.Log.Warn("order failed", zap.String(field.Target, target.GetName()), zap.Error(err))
 	}
 }
 
--- a/entry/claimed.go
+++ b/entry/claimed.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/claims"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Claims records which non-idempotent calls have been dispatched.
@@ -50,8 +51,8 @@
 		Timeout:     responseTimeout(g.req.route),
 	})
 	if err != nil {
-		g.entry.settings.Log.Warn("claim not acquired", zap.String("request_id", g.req.id),
-			zap.Stringer("outcome", begun.Outcome), zap.Error(err))
+		g.entry.settings.Log.Warn("claim not acquired", zap.String(field.RequestID, g.req.id),
+			zap.Stringer(field.Outcome, begun.Outcome), zap.Error(err))
 	}
 	switch begun.Outcome {
 	case claims.Acquired:
@@ -128,7 +129,7 @@
 			// The caller still gets its answer; a repeated call will be told
 			// that the result is unknown.
 			e.settings.Log.Error("answer of a claimed call not stored",
-				zap.String("request_id", out.req.id), zap.Error(err))
+				zap.String(field.RequestID, out.req.id), zap.Error(err))
 		}
 		out.release()
 		return nil
@@ -139,7 +140,7 @@
 		return ending
 	default:
 		if err := e.settings.Claims.MarkUnknown(ctx, claim); err != nil {
-			e.settings.Log.Warn("claim not marked unknown", zap.String("request_id", out.req.id), zap.Error(err))
+			e.settings.Log.Warn("claim not marked unknown", zap.String(field.RequestID, out.req.id), zap.Error(err))
 		}
 		unknown := unknownResult()
 		unknown.Message += ": " + ending.Message
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/basilloom/basilloom/engine"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/drain"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Sample is what one dispatched request showed of a target version.
@@ -128,13 +129,13 @@
 		return
 	}
 	e.settings.Log.Info("request not served",
-		zap.String("request_id", req.id),
-		zap.String("workspace", req.workspace.GetName()),
-		zap.String("route", req.route.GetName()),
-		zap.String("tier", req.tier.GetName()),
-		zap.String("outcome", string(ending.Outcome)),
-		zap.String("reason", string(ending.Reason)),
-		zap.Duration("elapsed", time.Since(req.arrived)))
+		zap.String(field.RequestID, req.id),
+		zap.String(field.Workspace, req.workspace.GetName()),
+		zap.String(field.Route, req.route.GetName()),
+		zap.String(field.Tier, req.tier.GetName()),
+		zap.String(field.Outcome, string(ending.Outcome)),
+		zap.String(field.Reason, string(ending.Reason)),
+		zap.Duration(field.Elapsed, time.Since(req.arrived)))
 }
 
 // callerGone is the end of a request whose caller closed the connection.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Periods and times of the reports.
@@ -168,7 +169,7 @@
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
-			f.settings.Log.Warn("peer has no usable address", zap.String("address", address), zap.Error(err))
+			f.settings.Log.Warn("peer has no usable address", zap.String(field.Address, address), zap.Error(err))
 			continue
 		}
 		// A lost report is replaced by the next one.
@@ -194,7 +195,7 @@
 	for name, p := range f.peers {
 		if now.Sub(p.lastSign()) > forgetAfter {
 			delete(f.peers, name)
-			f.settings.Log.Info("peer forgotten", zap.String("peer", name))
+			f.settings.Log.Info("peer forgotten", zap.String(field.Peer, name))
 			continue
 		}
 		addresses = append(addresses, p.Address)
@@ -222,7 +223,7 @@
 		}
 		message := &pb.FleetReport{}
 		if err := proto.Unmarshal(buffer[:n], message); err != nil || message.GetInstance() == "" {
-			f.settings.Log.Warn("datagram is not a report", zap.Int("bytes", n), zap.Error(err))
+			f.settings.Log.Warn("datagram is not a report", zap.Int(field.Bytes, n), zap.Error(err))
 			continue
 		}
 		if f.accept(message, time.Now()) {
@@ -242,13 +243,13 @@
 	if !ok || m.GetIncarnation() > p.Incarnation {
 		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Known: now}
 		f.peers[m.GetInstance()] = p
-		f.settings.Log.Info("peer found", zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
+		f.settings.Log.Info("peer found", zap.String(field.Peer, p.Name), zap.Uint64(field.Incarnation, p.Incarnation))
 	}
 	if m.GetIncarnation() < p.Incarnation || (p.Report != nil && m.GetSequence() <= p.Report.GetSequence()) {
 		return false
 	}
 	if !p.Heard.IsZero() && f.isSilent(p, now) {
-		f.settings.Log.Info("peer heard again", zap.String("peer", p.Name), zap.Duration("silent", now.Sub(p.Heard)))
+		f.settings.Log.Info("peer heard again", zap.String(field.Peer, p.Name), zap.Duration(field.Silent, now.Sub(p.Heard)))
 	}
 	p.Address, p.Heard, p.Report, p.Leaving = m.GetAddress(), now, m, m.GetLeaving()
 	return true
--- a/fleet/heal.go
+++ b/fleet/heal.go
@@ -12,6 +12,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
 	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Times of the comparison with peers' tables.
@@ -58,7 +59,7 @@
 	}
 	response, err := fetch(ctx, client, address, t.Name())
 	if err != nil {
-		f.settings.Log.Info("table not fetched", zap.String("table", t.Name()), zap.String("address", address), zap.Error(err))
+		f.settings.Log.Info("table not fetched", zap.String(field.Table, t.Name()), zap.String(field.Address, address), zap.Error(err))
 		return
 	}
 	f.SetMembers(response.GetMembers())
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -8,6 +8,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Metrics counts what becomes of requests. Labels are routes' kinds, tiers and
@@ -43,21 +45,21 @@
 // requestFields are the log fields of a request, followed by others.
 func requestFields(req *request, more ...zap.Field) []zap.Field {
 	fields := make([]zap.Field, 0, 6+len(more))
-	fields = append(fields, zap.String("request_id", req.call.ID), zap.Int("tier", req.tier), zap.Int("sends", req.sends),
-		zap.Duration("elapsed", time.Since(req.arrived)))
+	fields = append(fields, zap.String(field.RequestID, req.call.ID), zap.Int(field.Tier, req.tier), zap.Int(field.Sends, req.sends),
+		zap.Duration(field.Elapsed, time.Since(req.arrived)))
 	if req.route != nil {
-		fields = append(fields, zap.String("route", req.route.Name))
+		fields = append(fields, zap.String(field.Route, req.route.Name))
 	}
 	if req.workspace != nil {
-		fields = append(fields, zap.String("workspace", req.workspace.Name))
+		fields = append(fields, zap.String(field.Workspace, req.workspace.Name))
 	}
 	return append(fields, more...)
 }
 
 func (g *Gateway) logSend(a *attempt) {
-	g.settings.Log.Info("sent", requestFields(a.req, zap.String("target", a.slot.target.ID),
-		zap.String("service", a.req.service.Name), zap.Int("prompt_tokens", a.req.call.PromptTokens),
-		zap.Bool("resumed", a.resumed))...)
+	g.settings.Log.Info("sent", requestFields(a.req, zap.String(field.Target, a.slot.target.ID),
+		zap.String(field.Service, a.req.service.Name), zap.Int(field.PromptTokens, a.req.call.PromptTokens),
+		zap.Bool(field.Resumed, a.resumed))...)
 	g.settings.Metrics.sends.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("service", a.req.service.Name), attribute.Bool("repeat", a.req.sends > 0)))
 }
@@ -68,14 +70,14 @@
 	fields := requestFields(req)
 	if refused != nil {
 		status = refused.Status
-		fields = append(fields, zap.String("reason", refused.Message), zap.Duration("retry_after", refused.RetryAfter))
+		fields = append(fields, zap.String(field.Reason, refused.Message), zap.Duration(field.RetryAfter, refused.RetryAfter))
 	}
 	if table := g.table.Load(); table != nil {
-		fields = append(fields, zap.Int64("config", table.Config().Version))
+		fields = append(fields, zap.Int64(field.Config, table.Config().Version))
 	}
-	fields = append(fields, zap.Duration("patience", req.call.Patience), zap.Duration("queued", req.queued), zap.Duration("first", req.first),
-		zap.String("target", req.target), zap.Int("prompt_tokens", req.call.PromptTokens))
-	fields = append(fields, zap.Int("status", status), zap.Int("bytes", out.bytes), zap.Bool("complete", out.complete))
+	fields = append(fields, zap.Duration(field.Patience, req.call.Patience), zap.Duration(field.Queued, req.queued), zap.Duration(field.First, req.first),
+		zap.String(field.Target, req.target), zap.Int(field.PromptTokens, req.call.PromptTokens))
+	fields = append(fields, zap.Int(field.Status, status), zap.Int(field.Bytes, out.bytes), zap.Bool(field.Complete, out.complete))
 	g.settings.Log.Info("ended", fields...)
 	kind := "none"
 	if req.route != nil {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -12,6 +12,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/routing"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Times of the fallback from the shared broker to this instance's own groups.
@@ -97,7 +98,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if now.After(p.paused) {
-		p.Log.Warn("shared broker silent, requests are placed by this instance alone", zap.Duration("for", brokerPause))
+		p.Log.Warn("shared broker silent, requests are placed by this instance alone", zap.Duration(field.Pause, brokerPause))
 	}
 	p.paused = now.Add(brokerPause)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilloom/basilloom/forward"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 var (
@@ -52,8 +53,8 @@
 		if again := g.mayRepeat(ctx, req, outcome); !again {
 			return outcome.refusal
 		}
-		g.settings.Log.Info("sent again", requestFields(req, zap.String("after", outcome.reason),
-			zap.String("target", s.target.ID))...)
+		g.settings.Log.Info("sent again", requestFields(req, zap.String(field.After, outcome.reason),
+			zap.String(field.Target, s.target.ID))...)
 	}
 }
 
@@ -321,7 +322,7 @@
 		if a.req.route.Repeatable() && a.gateway.mayRepeat(ctx, a.req, outcome{}) {
 			a.tried()
 			a.gateway.settings.Log.Info("target's failure not passed on",
-				requestFields(a.req, zap.String("target", a.slot.target.ID), zap.Int("status", status))...)
+				requestFields(a.req, zap.String(field.Target, a.slot.target.ID), zap.Int(field.Status, status))...)
 			return outcome{refusal: mayHaveRun(http.StatusBadGateway, "the target failed"),
 				reason: response.Status, repeat: true}, result
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/basilloom/basilloom/scheduler"
 	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Limits and times of the listeners.
@@ -111,7 +112,7 @@
 
 // New binds the listeners and assembles the instance. Nothing runs before Run.
 func New(settings Settings, p Platform, log *zap.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, log: log.With(zap.String("instance", settings.Instance)), leaving: &leavingTargets{}}
+	d := &Daemon{settings: settings, log: log.With(zap.String(field.Instance, settings.Instance)), leaving: &leavingTargets{}}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -316,8 +317,8 @@
 	for _, l := range []listener{d.operators, d.peering, d.callers} {
 		running.Go(func() { serve(l, failed) })
 	}
-	d.log.Info("instance started", zap.String("callers", d.callers.Addr().String()),
-		zap.String("peers", d.peering.Addr().String()), zap.String("operators", d.operators.Addr().String()))
+	d.log.Info("instance started", zap.String(field.Callers, d.callers.Addr().String()),
+		zap.String(field.Peers, d.peering.Addr().String()), zap.String(field.Operators, d.operators.Addr().String()))
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/daemon/moves.go
+++ b/internal/daemon/moves.go
@@ -14,6 +14,7 @@
 	"github.com/basilloom/basilloom/lease"
 	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
@@ -47,7 +48,7 @@
 		Incarnation: d.self.Incarnation,
 		Now:         time.Now,
 		OnStop: func(stop *pb.MoveStop) {
-			d.log.Warn("version move stopped", zap.String("move", stop.GetMove()), zap.String("reason", stop.GetReason()))
+			d.log.Warn("version move stopped", zap.String(field.Move, stop.GetMove()), zap.String(field.Reason, stop.GetReason()))
 			d.members.AddStop(membership.Stop{
 				StopKey: membership.StopKey{Move: stop.GetMove(), Generation: stop.GetGeneration()},
 				Reason:  stop.GetReason(),
--- a/internal/instance/beliefs.go
+++ b/internal/instance/beliefs.go
@@ -9,6 +9,7 @@
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/routing"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // applyConfig puts the operator's newest configuration in force. One that cannot
@@ -22,7 +23,7 @@
 	}
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
-		i.log.Error("configuration cannot be read, the last one stays in force", zap.Int64("row", row.Version), zap.Error(err))
+		i.log.Error("configuration cannot be read, the last one stays in force", zap.Int64(field.Row, row.Version), zap.Error(err))
 		return
 	}
 	if current := i.gateway.Table(); current != nil && config.Version <= current.Config().Version {
@@ -32,8 +33,8 @@
 	i.groups.SetTable(table)
 	i.gateway.SetTable(table)
 	i.applyTargets()
-	i.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int64("row", row.Version),
-		zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
+	i.log.Info("configuration in force", zap.Int64(field.Config, config.Version), zap.Int64(field.Row, row.Version),
+		zap.Int(field.Routes, len(config.Routes)), zap.Int(field.Workspaces, len(config.Workspaces)))
 }
 
 func (i *Instance) applyTargets() {
@@ -86,9 +87,9 @@
 		if l.targets[id] != target {
 			l.targets[id] = target
 			changed = true
-			l.log.Info("target entry", zap.String("target", id), zap.Int64("row", row.Version),
-				zap.String("service", target.Service), zap.String("address", target.Address),
-				zap.String("version", target.Version), zap.Bool("draining", target.Draining))
+			l.log.Info("target entry", zap.String(field.Target, id), zap.Int64(field.Row, row.Version),
+				zap.String(field.Service, target.Service), zap.String(field.Address, target.Address),
+				zap.String(field.Version, target.Version), zap.Bool(field.Draining, target.Draining))
 		}
 	}
 	for id := range l.targets {
@@ -96,7 +97,7 @@
 			delete(l.targets, id)
 			delete(l.missing, id)
 			changed = true
-			l.log.Info("target gone", zap.String("target", id), zap.Int64("row", snapshot.Version))
+			l.log.Info("target gone", zap.String(field.Target, id), zap.Int64(field.Row, snapshot.Version))
 		}
 	}
 	return changed
@@ -109,7 +110,7 @@
 	}
 	if !l.missing[id] {
 		l.missing[id] = true
-		l.log.Info("target entry missing after the store's absence", zap.String("target", id))
+		l.log.Info("target entry missing after the store's absence", zap.String(field.Target, id))
 	}
 	return false
 }
@@ -118,7 +119,7 @@
 func (l *targetList) reject(id string, version int64, err error) {
 	if l.rejected[id] != version {
 		l.rejected[id] = version
-		l.log.Warn("registry entry not used", zap.Int64("row", version), zap.Error(err))
+		l.log.Warn("registry entry not used", zap.Int64(field.Row, version), zap.Error(err))
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/basilloom/basilloom/scheduler"
 	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Limits and times of the listeners.
@@ -160,8 +161,8 @@
 	running.Go(func() { i.register(i.work) })
 	running.Go(func() { i.runRollouts(i.work) })
 	running.Go(func() { i.watchSettings(i.work, path, reload) })
-	i.log.Info("instance started", zap.String("callers", settings.Callers), zap.String("store", settings.Store),
-		zap.Uint64("incarnation", i.incarnation))
+	i.log.Info("instance started", zap.String(field.Callers, settings.Callers), zap.String(field.Store, settings.Store),
+		zap.Uint64(field.Incarnation, i.incarnation))
 	select {
 	case <-ctx.Done():
 		i.shutdown(servers)
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -14,6 +14,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
@@ -64,13 +65,13 @@
 	for _, row := range rows {
 		m := &pb.FleetMember{}
 		if err := proto.Unmarshal(row.Value, m); err != nil {
-			i.log.Warn("instance row cannot be read", zap.String("row", row.Key), zap.Error(err))
+			i.log.Warn("instance row cannot be read", zap.String(field.Row, row.Key), zap.Error(err))
 			continue
 		}
 		members = append(members, m)
 	}
 	i.fleet.SetMembers(members)
-	i.log.Info("instances listed", zap.Int("instances", len(members)))
+	i.log.Info("instances listed", zap.Int(field.Instances, len(members)))
 	return nil
 }
 
@@ -130,7 +131,7 @@
 		return
 	}
 	known := i.crashes.entries()
-	i.log.Warn("requests that crash targets", zap.Int("known", len(known)))
+	i.log.Warn("requests that crash targets", zap.Int(field.Known, len(known)))
 	i.shared.SetQuarantined(known)
 	i.alone.SetQuarantined(known)
 }
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/platform"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // checkPeriod is the time between two looks at the settings file, which may
@@ -26,13 +27,13 @@
 		case <-ctx.Done():
 			return
 		case <-reload:
-			i.log.Info("settings are read again", zap.String("cause", "signal"))
+			i.log.Info("settings are read again", zap.String(field.Cause, "signal"))
 			seen = fileStamp(path)
 			i.readSettings(path)
 		case <-ticker.C:
 			if stamp := fileStamp(path); stamp != seen {
 				seen = stamp
-				i.log.Info("settings are read again", zap.String("cause", "changed file"))
+				i.log.Info("settings are read again", zap.String(field.Cause, "changed file"))
 				i.readSettings(path)
 			}
 		}
@@ -73,7 +74,7 @@
 	if settings.Callers != before.Callers || settings.Ready != before.Ready || settings.Peers != before.Peers || settings.Store != before.Store {
 		i.log.Warn("addresses in the settings changed; they are in force after a restart")
 	}
-	i.log.Info("settings in force", zap.Bool("changed", !reflect.DeepEqual(*before, settings)))
+	i.log.Info("settings in force", zap.Bool(field.Changed, !reflect.DeepEqual(*before, settings)))
 }
 
 // setMemoryLimit has the garbage collector keep to a part of the machine's memory.
--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -11,6 +11,7 @@
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/rollout"
 	"github.com/basilloom/basilloom/storage"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
@@ -30,7 +31,7 @@
 		}
 		order, err := platform.DecodeOrder(row.Value, row.Version)
 		if err != nil {
-			i.log.Error("version order not used", zap.String("key", key), zap.Int64("row", row.Version), zap.Error(err))
+			i.log.Error("version order not used", zap.String(field.Key, key), zap.Int64(field.Row, row.Version), zap.Error(err))
 			continue
 		}
 		orders = append(orders, order)
@@ -52,8 +53,8 @@
 			active := i.tracker.Active()
 			for _, order := range active {
 				if reason, stopped := i.tracker.Judge(order); stopped {
-					i.log.Warn("version stopped by this instance", zap.String("service", order.Service),
-						zap.String("version", order.To), zap.Int64("order", order.ID), zap.String("reason", reason))
+					i.log.Warn("version stopped by this instance", zap.String(field.Service, order.Service),
+						zap.String(field.Version, order.To), zap.Int64(field.Order, order.ID), zap.String(field.Reason, reason))
 				}
 			}
 			if len(active) == 0 || now.Sub(read) < statusPeriod {
@@ -72,13 +73,13 @@
 	key := storage.Key{Sort: platform.StatusKey(order.Service)}
 	row, err := i.status.Get(ctx, key)
 	if err != nil && !errors.Is(err, storage.ErrNotFound) {
-		i.log.Info("status of a version order not read", zap.String("service", order.Service), zap.Error(err))
+		i.log.Info("status of a version order not read", zap.String(field.Service, order.Service), zap.Error(err))
 		return
 	}
 	status := platform.Status{Order: order}
 	if err == nil {
 		if status, err = platform.DecodeStatus(row.Value); err != nil {
-			i.log.Warn("status of a version order cannot be read", zap.String("service", order.Service), zap.Error(err))
+			i.log.Warn("status of a version order cannot be read", zap.String(field.Service, order.Service), zap.Error(err))
 		}
 	}
 	if status.Order.ID == order.ID && status.Phase != "" {
@@ -113,8 +114,8 @@
 		return
 	}
 	_, err = i.status.Put(ctx, key, value, version)
-	i.log.Info("version order decided", zap.String("service", order.Service), zap.String("version", order.To),
-		zap.Int64("order", order.ID), zap.String("phase", string(next)), zap.String("reason", reason), zap.Error(err))
+	i.log.Info("version order decided", zap.String(field.Service, order.Service), zap.String(field.Version, order.To),
+		zap.Int64(field.Order, order.ID), zap.String(field.Phase, string(next)), zap.String(field.Reason, reason), zap.Error(err))
 	if err == nil {
 		i.tracker.SetPhase(order.Service, order.ID, next)
 	}
--- a/membership/outgoing.go
+++ b/membership/outgoing.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // errOtherInstance: the address now belongs to an instance of another name.
@@ -223,7 +224,7 @@
 	defer e.mu.Unlock()
 	if e.view.Suspect(peer.Name, peer.Incarnation, time.Now()) {
 		e.queueMember(peer.Name)
-		e.logger.Info("instance suspected", zap.String("instance", peer.Name), zap.Error(cause))
+		e.logger.Info("instance suspected", zap.String(field.Instance, peer.Name), zap.Error(cause))
 	}
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Row is a versioned row of a table.
@@ -80,7 +82,7 @@
 
 // NewTable returns an empty copy of the named table.
 func NewTable(name string, source Source, log *zap.Logger) *Table {
-	return &Table{name: name, source: source, log: log.With(zap.String("table", name)), changed: make(chan struct{}, 1)}
+	return &Table{name: name, source: source, log: log.With(zap.String(field.Table, name)), changed: make(chan struct{}, 1)}
 }
 
 // Changed gets a value after each change.
@@ -119,7 +121,7 @@
 		return false
 	}
 	t.setLocked(rows, version, changed)
-	t.log.Info("table taken from a peer", zap.Int64("version", version), zap.Int("rows", len(rows)))
+	t.log.Info("table taken from a peer", zap.Int64(field.Version, version), zap.Int(field.Rows, len(rows)))
 	return true
 }
 
@@ -237,7 +239,7 @@
 	now := time.Now()
 	switch {
 	case err == nil && !t.lost.IsZero():
-		t.log.Info("store answers again", zap.Duration("away", now.Sub(t.lost)))
+		t.log.Info("store answers again", zap.Duration(field.Away, now.Sub(t.lost)))
 		t.lost, t.restored = time.Time{}, now
 	case err != nil && t.lost.IsZero():
 		t.log.Warn("store does not answer", zap.Error(err))
