Metrics of queues, events, quotas, the store and brokers; a span for each hop; inputs of quota refusals

A metrics port that is taken is logged and does not end the process. A 429 line has cost, bucket and share.

--- /dev/null
+++ b/broker/metrics.go
@@ -0,0 +1,72 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// healthCodes are the values of basilloom.target.health.
+var healthCodes = map[scheduler.HealthState]int64{
+	scheduler.HealthGood:     0,
+	scheduler.HealthHalfOpen: 1,
+	scheduler.HealthProbing:  1,
+	scheduler.HealthEjected:  2,
+}
+
+// groupGauges are observed when the metrics are read.
+type groupGauges struct {
+	running, limit, health, waiting, owned metric.Int64ObservableGauge
+}
+
+// RegisterMetrics registers the state of the groups that this instance runs.
+func (m *Manager) RegisterMetrics(meter metric.Meter) error {
+	var g groupGauges
+	var errs []error
+	gauge := func(into *metric.Int64ObservableGauge, name, description string) {
+		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
+		*into = instrument
+		errs = append(errs, err)
+	}
+	gauge(&g.running, "basilloom.target.running", "Grants in use, by target, of groups run here.")
+	gauge(&g.limit, "basilloom.target.limit", "Concurrency limit, by target, of groups run here.")
+	gauge(&g.health, "basilloom.target.health", "0 good, 1 half-open, 2 ejected, by target, of groups run here.")
+	gauge(&g.waiting, "basilloom.waiting", "Waiting tickets, by pool and tier rank, of groups run here.")
+	gauge(&g.owned, "basilloom.groups", "Groups run here, by pool.")
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("register metrics of groups: %w", err)
+	}
+	_, err := meter.RegisterCallback(func(ctx context.Context, o metric.Observer) error {
+		m.observe(ctx, o, &g)
+		return nil
+	}, g.running, g.limit, g.health, g.waiting, g.owned)
+	if err != nil {
+		return fmt.Errorf("register metrics of groups: %w", err)
+	}
+	return nil
+}
+
+func (m *Manager) observe(ctx context.Context, o metric.Observer, g *groupGauges) {
+	owned := make(map[string]int64)
+	for _, status := range m.Status(ctx) {
+		owned[status.Key.Pool]++
+		for _, t := range status.Targets {
+			target := metric.WithAttributes(attribute.String("target", t.Name))
+			o.ObserveInt64(g.running, int64(t.Running), target)
+			o.ObserveInt64(g.limit, int64(t.Limit), target)
+			o.ObserveInt64(g.health, healthCodes[t.Health], target)
+		}
+		for _, tier := range status.Waiting {
+			o.ObserveInt64(g.waiting, int64(tier.Waiting), metric.WithAttributes(
+				attribute.String("pool", status.Key.Pool), attribute.Int("tier", int(tier.Tier))))
+		}
+	}
+	for pool, n := range owned {
+		o.ObserveInt64(g.owned, n, metric.WithAttributes(attribute.String("pool", pool)))
+	}
+}
--- a/broker/span.go
+++ b/broker/span.go
@@ -56,3 +56,14 @@
 		delete(s, id)
 	}
 }
+
+// Traceparent returns the trace context for a ticket, so that the span of its
+// decision joins the caller's trace; empty if the trace is not sampled.
+func Traceparent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
--- a/cmd/basilloomd/main.go
+++ b/cmd/basilloomd/main.go
@@ -31,7 +31,11 @@
 
 type platformCommand struct {
 	SettingsFile string `env:"BASILLOOM_BOOT" help:"Path of the platform's settings file."`
+	MetricsPort  int    `default:"0" env:"BASILLOOM_METRICS_PORT" help:"Port of the metrics; 0 takes the second one of the platform's port range."`
 	LogLevel     string `default:"info" env:"BASILLOOM_LOG_LEVEL" help:"Least level that is logged."`
+
+	TraceEndpoint string  `env:"BASILLOOM_TRACE_ENDPOINT" help:"OTLP/HTTP URL for traces; empty sends none."`
+	TraceRatio    float64 `default:"0.01" env:"BASILLOOM_TRACE_RATIO" help:"Part of the requests that is traced, 0 to 1."`
 }
 
 func main() {
@@ -50,25 +54,33 @@
 }
 
 func servePlatform(command platformCommand) error {
-	settings, err := platform.LoadSettings(command.SettingsFile)
+	file := platform.SettingsFile{Path: command.SettingsFile, MetricsPort: command.MetricsPort}
+	settings, err := file.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "basilloomd:", err)
 		os.Exit(exitSettings)
 	}
-	log, closeLog, err := telemetry.NewDecisionLogger(command.LogLevel, os.Stdout)
+	log, err := telemetry.NewDecisionLog(command.LogLevel, os.Stdout)
 	if err != nil {
 		return err
 	}
-	defer closeLog()
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	i, err := instance.New(settings, log.With(zap.String(field.Instance, settings.Instance)))
+	endTraces, err := startTraces(ctx, telemetry.TraceSettings{
+		Endpoint: command.TraceEndpoint, Ratio: command.TraceRatio, Instance: settings.Instance,
+	}, log.Logger)
+	if err != nil {
+		return err
+	}
+	defer endTraces()
+	i, err := instance.New(settings, log.With(zap.String(field.Instance, settings.Instance)), log.Dropped)
 	if err != nil {
 		return err
 	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	return i.Run(ctx, command.SettingsFile, reload)
+	return i.Run(ctx, file, reload)
 }
 
 func serve(settings daemon.Settings) error {
@@ -78,21 +90,31 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	endTraces, err := telemetry.StartTraces(ctx, telemetry.TraceSettings{
+	endTraces, err := startTraces(ctx, telemetry.TraceSettings{
 		Endpoint: settings.TraceEndpoint, Ratio: settings.TraceRatio, Instance: settings.Instance,
-	})
+	}, log)
 	if err != nil {
 		return err
 	}
+	defer endTraces()
 	d, err := daemon.New(settings, daemon.NewPlatform(settings), log)
 	if err != nil {
 		return err
 	}
-	runErr := d.Run(ctx)
-	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
-	defer cancel()
-	if err := endTraces(flush); err != nil {
-		log.Warn("traces not flushed", zap.Error(err))
+	return d.Run(ctx)
+}
+
+// startTraces returns a function that flushes the traces.
+func startTraces(ctx context.Context, settings telemetry.TraceSettings, log *zap.Logger) (func(), error) {
+	end, err := telemetry.StartTraces(ctx, settings)
+	if err != nil {
+		return nil, err
 	}
-	return runErr
+	return func() {
+		flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+		defer cancel()
+		if err := end(flush); err != nil {
+			log.Warn("traces not flushed", zap.Error(err))
+		}
+	}, nil
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,7 +8,6 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/basilloom/basilloom/broker"
@@ -72,7 +71,7 @@
 	defer span.End()
 	req.version = e.settings.Versions.Choose(req.route, req.id)
 	key := broker.GroupKey{Pool: req.route.GetPool(), Shard: req.shard()}
-	call := e.settings.Tickets.Submit(key, req.ticket(traceparent(ctx)), req.deadline)
+	call := e.settings.Tickets.Submit(key, req.ticket(broker.Traceparent(ctx)), req.deadline)
 	grant, err := call.Wait(ctx)
 	var refused *broker.RefusedError
 	switch {
@@ -252,13 +251,3 @@
 	}
 	return DefaultResponseTimeout
 }
-
-// traceparent returns the trace context of a sampled request.
-func traceparent(ctx context.Context) string {
-	if !trace.SpanContextFromContext(ctx).IsSampled() {
-		return ""
-	}
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier["traceparent"]
-}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/routing"
+	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 // Defaults for what a configuration leaves unset.
@@ -184,9 +186,11 @@
 	}
 	q := req.workspace.Quota
 	cost := q.Cost(req.call.PromptTokens, req.call.OutputTokens)
-	wait, ok := g.settings.Ledger.Take(time.Now(), req.workspace.Name, limitOf(q), cost)
-	if !ok {
-		return notRun(http.StatusTooManyRequests, "the workspace's quota is used up", wait)
+	taken := g.settings.Ledger.Take(time.Now(), req.workspace.Name, limitOf(q), cost)
+	if !taken.OK {
+		refused := notRun(http.StatusTooManyRequests, "the workspace's quota is used up", taken.Wait)
+		refused.inputs = []zap.Field{zap.Float64(field.Cost, cost), zap.Float64(field.Bucket, taken.Level), zap.Float64(field.Share, taken.Share)}
+		return refused
 	}
 	req.cost = cost
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/forward"
@@ -72,14 +76,19 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	ctx, span := otel.Tracer(tracerName).Start(
+		otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header)),
+		"request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	out := &responder{w: w, dialect: g.settings.Dialect}
 	req, refused := g.admit(w, r)
+	span.SetAttributes(attribute.String("basilloom.request_id", req.call.ID))
 	if refused != nil {
 		out.refuse(refused)
 		g.ended(req, out, refused)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errTimeout)
+	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, errTimeout)
 	defer cancel()
 	failed := g.serve(ctx, out, req)
 	if failed != nil && !out.started {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -9,37 +10,69 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
+	"github.com/basilloom/basilloom/routing"
 	"github.com/basilloom/basilloom/telemetry/field"
 )
 
-// Metrics counts what becomes of requests. Labels are routes' kinds, tiers and
-// statuses, whose number does not grow with workspaces or routes.
+// Metrics counts what becomes of requests. Labels are services, routes' kinds,
+// tiers, statuses and reasons, whose number does not grow with workspaces or routes.
 type Metrics struct {
 	requests metric.Int64Counter
+	grants   metric.Int64Counter
 	sends    metric.Int64Counter
+	quota    metric.Float64Counter
+	queued   metric.Float64Histogram
 	first    metric.Float64Histogram
+	gap      metric.Float64Histogram
 	total    metric.Float64Histogram
 }
 
+// Bounds of the histograms' buckets in seconds. They enclose the users' objectives:
+// 0.2 to 1.8 s to the first event, 0.032 to 0.3 s between events, 12 s in all.
+var (
+	waitBounds = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.8, 4, 12}
+	gapBounds  = []float64{0.005, 0.01, 0.02, 0.032, 0.05, 0.1, 0.2, 0.3, 0.6, 2}
+)
+
+// kindLabels are the labels of the histograms, made once because a stream records a
+// value with each read. Those of kind 0 are for requests without a route.
+var kindLabels = map[routing.Kind]metric.MeasurementOption{
+	0:                         kindLabel("none"),
+	routing.KindIdempotent:    kindLabel(routing.KindIdempotent.String()),
+	routing.KindNonIdempotent: kindLabel(routing.KindNonIdempotent.String()),
+	routing.KindStream:        kindLabel(routing.KindStream.String()),
+}
+
+func kindLabel(kind string) metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", kind)))
+}
+
 // NewMetrics registers the metrics.
 func NewMetrics(meter metric.Meter) (*Metrics, error) {
 	var m Metrics
-	var err error
-	if m.requests, err = meter.Int64Counter("basilloom_requests",
-		metric.WithDescription("Requests by kind, tier and status.")); err != nil {
-		return nil, err
-	}
-	if m.sends, err = meter.Int64Counter("basilloom_sends",
-		metric.WithDescription("Sends to targets by service; repeat tells further ones of a request.")); err != nil {
-		return nil, err
+	var errs []error
+	counter := func(into *metric.Int64Counter, name, description string) {
+		instrument, err := meter.Int64Counter(name, metric.WithDescription(description))
+		*into = instrument
+		errs = append(errs, err)
 	}
-	if m.first, err = meter.Float64Histogram("basilloom_first_byte_seconds",
-		metric.WithDescription("Time from the dispatch to the first event or the answer.")); err != nil {
-		return nil, err
+	histogram := func(into *metric.Float64Histogram, name, description string, bounds []float64) {
+		instrument, err := meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(bounds...))
+		*into = instrument
+		errs = append(errs, err)
 	}
-	m.total, err = meter.Float64Histogram("basilloom_request_seconds",
-		metric.WithDescription("Time from arrival to the end of the answer."))
-	return &m, err
+	counter(&m.requests, "basilloom_requests", "Requests by kind, tier, status and reason.")
+	counter(&m.grants, "basilloom_grants", "Grants of slots by service and broker, shared or alone.")
+	counter(&m.sends, "basilloom_sends", "Sends to targets by service; repeat tells further ones of a request.")
+	histogram(&m.queued, "basilloom_queue_seconds", "Time waiting for slots, by kind.", waitBounds)
+	histogram(&m.first, "basilloom_first_byte_seconds", "Time from the dispatch to the first event or the answer, by kind.", waitBounds)
+	histogram(&m.gap, "basilloom_event_gap_seconds", "Time between events of a stream that come in different reads, by kind.", gapBounds)
+	histogram(&m.total, "basilloom_request_seconds", "Time from arrival to the end of the answer, by kind.", waitBounds)
+	quota, err := meter.Float64Counter("basilloom_quota_charged",
+		metric.WithDescription("Amounts charged to the quotas of all workspaces, given back ones included."))
+	m.quota = quota
+	return &m, errors.Join(append(errs, err)...)
 }
 
 // requestFields are the log fields of a request, followed by others.
@@ -71,6 +104,7 @@
 	if refused != nil {
 		status = refused.Status
 		fields = append(fields, zap.String(field.Reason, refused.Message), zap.Duration(field.RetryAfter, refused.RetryAfter))
+		fields = append(fields, refused.inputs...)
 	}
 	if table := g.table.Load(); table != nil {
 		fields = append(fields, zap.Int64(field.Config, table.Config().Version))
@@ -79,15 +113,44 @@
 		zap.String(field.Target, req.target), zap.Int(field.PromptTokens, req.call.PromptTokens))
 	fields = append(fields, zap.Int(field.Status, status), zap.Int(field.Bytes, out.bytes), zap.Bool(field.Complete, out.complete))
 	g.settings.Log.Info("ended", fields...)
-	kind := "none"
+	g.count(req, status, refused)
+}
+
+// count counts the end of a request.
+func (g *Gateway) count(req *request, status int, refused *Refusal) {
+	reason := ""
+	if refused != nil {
+		reason = refused.Message
+	}
+	m := g.settings.Metrics
+	kind, byKind := "none", kindLabels[0]
 	if req.route != nil {
-		kind = req.route.Kind.String()
+		kind, byKind = req.route.Kind.String(), kindLabels[req.route.Kind]
+	}
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind),
+		attribute.Int("tier", req.tier), attribute.String("status", strconv.Itoa(status)), attribute.String("reason", reason)))
+	m.queued.Record(context.Background(), req.queued.Seconds(), byKind)
+	m.total.Record(context.Background(), time.Since(req.arrived).Seconds(), byKind)
+	m.quota.Add(context.Background(), req.cost)
+}
+
+// countGrant counts a slot for the request.
+func (g *Gateway) countGrant(req *request, s *slot) {
+	by := "alone"
+	if s.shared {
+		by = "shared"
+	}
+	g.settings.Metrics.grants.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", req.service.Name), attribute.String("broker", by)))
+}
+
+// observeGap records the time since the events before.
+func (a *attempt) observeGap() {
+	now := time.Now()
+	if !a.lastEvents.IsZero() {
+		a.gateway.settings.Metrics.gap.Record(context.Background(), now.Sub(a.lastEvents).Seconds(), kindLabels[a.req.route.Kind])
 	}
-	labels := metric.WithAttributes(attribute.String("kind", kind), attribute.Int("tier", req.tier),
-		attribute.String("status", strconv.Itoa(status)))
-	g.settings.Metrics.requests.Add(context.Background(), 1, labels)
-	g.settings.Metrics.total.Record(context.Background(), time.Since(req.arrived).Seconds(),
-		metric.WithAttributes(attribute.String("kind", kind)))
+	a.lastEvents = now
 }
 
 // observeFirst records the time to the first event or the answer.
@@ -95,6 +158,5 @@
 	if a.req.first == 0 {
 		a.req.first = time.Since(a.req.arrived)
 	}
-	g.settings.Metrics.first.Record(context.Background(), a.first.Seconds(),
-		metric.WithAttributes(attribute.String("kind", a.req.route.Kind.String())))
+	g.settings.Metrics.first.Record(context.Background(), a.first.Seconds(), kindLabels[a.req.route.Kind])
 }
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Refusal is the end of a request that no target's answer ends.
@@ -13,6 +15,8 @@
 	Message string
 	// RetryAfter is when the caller should ask again; 0 if the request may have run.
 	RetryAfter time.Duration
+	// inputs are the log fields of what decided.
+	inputs []zap.Field
 }
 
 // minRetryAfter keeps refused callers from asking again at once.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,8 +8,12 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/forward"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/telemetry/field"
@@ -20,6 +24,8 @@
 	errCallerWrite = errors.New("the caller does not take the answer")
 )
 
+const tracerName = "github.com/basilloom/basilloom/gateway"
+
 // statusCallerGone stands for a caller that went away, in logs and metrics only.
 const statusCallerGone = 499
 
@@ -45,6 +51,7 @@
 			return refused
 		}
 		req.target = s.target.ID
+		g.countGrant(req, s)
 		a := &attempt{gateway: g, req: req, slot: s, out: out, sent: time.Now()}
 		outcome := a.run(ctx)
 		if outcome.done {
@@ -104,8 +111,11 @@
 
 // place waits for a slot on a target of the version.
 func (g *Gateway) place(ctx context.Context, req *request, version string, deadline time.Time) (*slot, error) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "wait for grant", trace.WithAttributes(
+		attribute.String("basilloom.service", req.service.Name), attribute.Int("basilloom.tier", req.tier)))
+	defer span.End()
 	ticket := req.ticket()
-	ticket.Version = version
+	ticket.Version, ticket.Traceparent = version, broker.Traceparent(ctx)
 	return g.settings.Placer.acquire(ctx, req.service, ticket, deadline)
 }
 
@@ -164,6 +174,8 @@
 
 	first  time.Duration
 	events int
+	// lastEvents is when the last events were passed on.
+	lastEvents time.Time
 	// after is the id of the last event passed on; resumed is set if the target
 	// was asked to continue behind it.
 	after   int64
@@ -186,6 +198,12 @@
 			rollouts.Observe(service, a.req.routeHash(), version, result != pb.Result_RESULT_SERVED, a.first)
 		}
 	}()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("basilloom.target", a.slot.target.ID), attribute.Int("basilloom.sends", a.req.sends)))
+	defer func() {
+		span.SetAttributes(attribute.Stringer("basilloom.result", result))
+		span.End()
+	}()
 	response, err := a.send(ctx)
 	if err != nil {
 		var o outcome
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,6 +75,7 @@
 		passed = true
 	}
 	if passed {
+		a.observeGap()
 		if err := a.out.flush(); err != nil {
 			return errCallerWrite
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -52,6 +52,11 @@
 	Queued   float64 `json:"queued,omitempty"`
 	First    float64 `json:"first,omitempty"`
 	Complete bool    `json:"complete,omitempty"`
+	// Cost is what the request takes from its workspace's quota, Bucket what the
+	// quota's bucket held, and Share the part of the quotas in force on the instance.
+	Cost   float64 `json:"cost,omitempty"`
+	Bucket float64 `json:"bucket,omitempty"`
+	Share  float64 `json:"share,omitempty"`
 }
 
 // Explanation is what the logs tell of a request.
@@ -125,7 +130,8 @@
 	case last.Status < 300:
 		return fmt.Sprintf("the answer of %s broke off %s: %s%s", last.Target, took, last.Reason, repeats(lines))
 	case last.Status == 429:
-		return fmt.Sprintf("refused: workspace %s had used up its quota (configuration %d)", last.Workspace, last.Config)
+		return fmt.Sprintf("refused: workspace %s had used up its quota (configuration %d): the request takes %.0f, the bucket was at %.0f with %.0f%% of the quota in force on %s",
+			last.Workspace, last.Config, last.Cost, last.Bucket, 100*last.Share, last.Instance)
 	case last.Status == 401 || last.Status == 404:
 		return fmt.Sprintf("rejected by configuration %d of %s: %s", last.Config, last.Instance, last.Reason)
 	case last.Status == 503 && last.Sends == 0:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -20,17 +20,20 @@
 {"level":"info","ts":"2026-03-09T02:45:24Z","msg":"ended","instance":"a","request_id":"r9","target":"t1","status":499,"sends":1,"elapsed":500,"patience":2000}
 `
 
+const quotaLine = `{"level":"info","ts":"2026-03-09T02:45:25Z","msg":"ended","instance":"a","request_id":"r10","status":429,"workspace":"w","config":12,"cost":7000,"bucket":-300,"share":0.5}`
+
 // Guards against an explanation that names another cause than the lines show.
 func TestCauses(t *testing.T) {
-	lines, err := Read(strings.NewReader(log))
+	lines, err := Read(strings.NewReader(log + quotaLine))
 	require.NoError(t, err)
 	for id, want := range map[string]string{
-		"r1": "sent again after target t1: unexpected EOF",
-		"r2": "refused as not run after 390 ms, 389 ms of them waiting for a slot: deadline",
-		"r3": "rejected by configuration 11 of b: unknown key",
-		"r4": "log was cut",
-		"r8": "the caller's time of 2000 ms was over after 1980 ms",
-		"r9": "the caller left after 500 ms",
+		"r1":  "sent again after target t1: unexpected EOF",
+		"r2":  "refused as not run after 390 ms, 389 ms of them waiting for a slot: deadline",
+		"r3":  "rejected by configuration 11 of b: unknown key",
+		"r4":  "log was cut",
+		"r8":  "the caller's time of 2000 ms was over after 1980 ms",
+		"r9":  "the caller left after 500 ms",
+		"r10": "workspace w had used up its quota (configuration 12): the request takes 7000, the bucket was at -300 with 50% of the quota in force on a",
 	} {
 		e, err := Request(id, lines)
 		require.NoError(t, err)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -82,8 +82,9 @@
 	stop context.CancelFunc
 }
 
-// New assembles an instance. Nothing runs before Run.
-func New(settings platform.Settings, log *zap.Logger) (*Instance, error) {
+// New assembles an instance. Nothing runs before Run. droppedLines counts the lines
+// that the log has dropped.
+func New(settings platform.Settings, log *zap.Logger, droppedLines func() int64) (*Instance, error) {
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -119,10 +120,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := i.registerMetrics(); err != nil {
-		return nil, fmt.Errorf("instance metrics: %w", err)
+	if err := i.assembleBrokers(); err != nil {
+		return nil, err
 	}
-	return i, i.assembleBrokers()
+	return i, i.registerMetrics(droppedLines)
 }
 
 // retryShare is the part of the fleet's budget ratio that requests earn; the rest
@@ -137,8 +138,8 @@
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
-// The settings file at path is read again when it changes or reload gets a signal.
-func (i *Instance) Run(ctx context.Context, path string, reload <-chan os.Signal) error {
+// The settings file is read again when it changes or reload gets a signal.
+func (i *Instance) Run(ctx context.Context, file platform.SettingsFile, reload <-chan os.Signal) error {
 	settings := i.settings.Load()
 	setMemoryLimit(*settings)
 	servers, err := i.listen()
@@ -160,7 +161,7 @@
 	running.Go(func() { i.fleet.Run(i.work) })
 	running.Go(func() { i.register(i.work) })
 	running.Go(func() { i.runRollouts(i.work) })
-	running.Go(func() { i.watchSettings(i.work, path, reload) })
+	running.Go(func() { i.watchSettings(i.work, file, reload) })
 	i.log.Info("instance started", zap.String(field.Callers, settings.Callers), zap.String(field.Store, settings.Store),
 		zap.Uint64(field.Incarnation, i.incarnation))
 	select {
@@ -199,6 +200,11 @@
 		{settings.Metrics, i.metrics.Handler},
 	} {
 		listener, err := net.Listen("tcp", l.address)
+		if err != nil && l.address == settings.Metrics {
+			// Callers are served all the same.
+			i.log.Error("metrics are not served", zap.String(field.Address, l.address), zap.Error(err))
+			continue
+		}
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -2,45 +2,86 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/basilloom/basilloom/mirror"
 )
 
+// observed are the instruments of counts that other packages keep.
+type observed struct {
+	calls, connections, dropped metric.Int64ObservableCounter
+	peers, version              metric.Int64ObservableGauge
+	share, repeats, tableAge    metric.Float64ObservableGauge
+}
+
 // registerMetrics registers the counts that other packages keep.
-func (i *Instance) registerMetrics() error {
+func (i *Instance) registerMetrics(droppedLines func() int64) error {
 	meter := i.metrics.Meter
-	calls, err := meter.Int64ObservableCounter("basilloom_store_calls", metric.WithDescription("Calls to the platform's store by outcome."))
-	if err != nil {
-		return err
+	var m observed
+	var errs []error
+	counter := func(into *metric.Int64ObservableCounter, name, description string) {
+		instrument, err := meter.Int64ObservableCounter(name, metric.WithDescription(description))
+		*into, errs = instrument, append(errs, err)
 	}
-	connections, err := meter.Int64ObservableCounter("basilloom_target_connections",
-		metric.WithDescription("Connections to targets: opened, reused, and found closed or with stray bytes."))
-	if err != nil {
-		return err
+	gauge := func(into *metric.Int64ObservableGauge, name, description string) {
+		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
+		*into, errs = instrument, append(errs, err)
 	}
-	peers, err := meter.Int64ObservableGauge("basilloom_peers_heard", metric.WithDescription("Other instances that are heard."))
-	if err != nil {
-		return err
+	number := func(into *metric.Float64ObservableGauge, name, description string) {
+		instrument, err := meter.Float64ObservableGauge(name, metric.WithDescription(description))
+		*into, errs = instrument, append(errs, err)
+	}
+	counter(&m.calls, "basilloom_store_calls", "Calls to the platform's store by kind and outcome.")
+	counter(&m.connections, "basilloom_target_connections", "Connections to targets: opened, reused, and found closed or with stray bytes.")
+	counter(&m.dropped, "basilloom_log_lines_dropped", "Log lines that were dropped because the output was not read.")
+	gauge(&m.peers, "basilloom_peers_heard", "Other instances that are heard.")
+	gauge(&m.version, "basilloom_config_version", "Version of the configuration in force.")
+	number(&m.share, "basilloom_quota_share", "Part of the fleet's limits that this instance and the peers that it hears may spend.")
+	number(&m.repeats, "basilloom_repeat_budget", "Further sends that the budget holds, by service.")
+	number(&m.tableAge, "basilloom_table_age_seconds", "Time since the store last answered a call for the table.")
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("instance metrics: %w", err)
 	}
-	version, err := meter.Int64ObservableGauge("basilloom_config_version", metric.WithDescription("Version of the configuration in force."))
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(m.dropped, droppedLines())
+		i.observe(o, &m)
+		return nil
+	}, m.calls, m.connections, m.dropped, m.peers, m.version, m.share, m.repeats, m.tableAge)
 	if err != nil {
-		return err
-	}
-	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		all, failed := i.store.Calls()
-		o.ObserveInt64(calls, all-failed, metric.WithAttributes(attribute.String("outcome", "answered")))
-		o.ObserveInt64(calls, failed, metric.WithAttributes(attribute.String("outcome", "failed")))
-		stats := i.pool.Stats()
-		o.ObserveInt64(connections, stats.Opened, metric.WithAttributes(attribute.String("how", "opened")))
-		o.ObserveInt64(connections, stats.Reused, metric.WithAttributes(attribute.String("how", "reused")))
-		o.ObserveInt64(connections, stats.Stale, metric.WithAttributes(attribute.String("how", "stale")))
-		o.ObserveInt64(peers, int64(len(i.fleet.Heard(time.Now()))))
-		if table := i.gateway.Table(); table != nil {
-			o.ObserveInt64(version, table.Config().Version)
+		return fmt.Errorf("instance metrics: %w", err)
+	}
+	return i.shared.RegisterMetrics(meter)
+}
+
+func (i *Instance) observe(o metric.Observer, m *observed) {
+	for kind, counts := range i.store.Calls() {
+		for outcome, n := range map[string]int64{
+			"answered": counts.Answered.Load(), "refused": counts.Refused.Load(), "lost": counts.Lost.Load(),
+		} {
+			o.ObserveInt64(m.calls, n, metric.WithAttributes(attribute.Stringer("kind", kind), attribute.String("outcome", outcome)))
 		}
-		return nil
-	}, calls, connections, peers, version)
-	return err
+	}
+	stats := i.pool.Stats()
+	for how, n := range map[string]int64{"opened": stats.Opened, "reused": stats.Reused, "stale": stats.Stale} {
+		o.ObserveInt64(m.connections, n, metric.WithAttributes(attribute.String("how", how)))
+	}
+	now := time.Now()
+	o.ObserveInt64(m.peers, int64(len(i.fleet.Heard(now))))
+	if table := i.gateway.Table(); table != nil {
+		o.ObserveInt64(m.version, table.Config().Version)
+	}
+	o.ObserveFloat64(m.share, i.ledger.Share())
+	for service, level := range i.retries.Levels() {
+		o.ObserveFloat64(m.repeats, level, metric.WithAttributes(attribute.String("service", service)))
+	}
+	for _, t := range []*mirror.Table{i.operator, i.registry} {
+		if answered := t.Answered(); !answered.IsZero() {
+			o.ObserveFloat64(m.tableAge, now.Sub(answered).Seconds(), metric.WithAttributes(attribute.String("table", t.Name())))
+		}
+	}
 }
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -18,23 +18,23 @@
 const checkPeriod = time.Second
 
 // watchSettings reads the settings file again when it changes or a signal asks for it.
-func (i *Instance) watchSettings(ctx context.Context, path string, reload <-chan os.Signal) {
+func (i *Instance) watchSettings(ctx context.Context, file platform.SettingsFile, reload <-chan os.Signal) {
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
-	seen := fileStamp(path)
+	seen := fileStamp(file.Path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-reload:
 			i.log.Info("settings are read again", zap.String(field.Cause, "signal"))
-			seen = fileStamp(path)
-			i.readSettings(path)
+			seen = fileStamp(file.Path)
+			i.readSettings(file)
 		case <-ticker.C:
-			if stamp := fileStamp(path); stamp != seen {
+			if stamp := fileStamp(file.Path); stamp != seen {
 				seen = stamp
 				i.log.Info("settings are read again", zap.String(field.Cause, "changed file"))
-				i.readSettings(path)
+				i.readSettings(file)
 			}
 		}
 	}
@@ -56,8 +56,8 @@
 
 // readSettings takes over what may change while the process runs. Settings that
 // cannot be read leave the last ones in force.
-func (i *Instance) readSettings(path string) {
-	settings, err := platform.LoadSettings(path)
+func (i *Instance) readSettings(file platform.SettingsFile) {
+	settings, err := file.Load()
 	if err != nil {
 		i.log.Error("settings cannot be read, the last ones stay in force", zap.Error(err))
 		return
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -185,15 +185,16 @@
 	require.NoError(w.t, err)
 	text := fmt.Sprintf(settingsFile, name, port, freeAddress(w.t), freeAddress(w.t), strings.TrimPrefix(store, "http://"))
 	require.NoError(w.t, os.WriteFile(n.path, []byte(text), 0o600))
-	settings, err := platform.LoadSettings(n.path)
+	file := platform.SettingsFile{Path: n.path}
+	settings, err := file.Load()
 	require.NoError(w.t, err)
-	n.Instance, err = New(settings, zap.NewNop())
+	n.Instance, err = New(settings, zap.NewNop(), func() int64 { return 0 })
 	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() {
 		defer close(n.ended)
-		if err := n.Run(ctx, n.path, n.reload); err != nil {
+		if err := n.Run(ctx, file, n.reload); err != nil {
 			w.t.Errorf("instance %s: %v", name, err)
 		}
 	}()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -78,6 +78,8 @@
 	// lost is when the store stopped answering, zero while it answers; restored
 	// is when it last answered again.
 	lost, restored time.Time
+	// answered is when the store last answered.
+	answered time.Time
 }
 
 // NewTable returns an empty copy of the named table.
@@ -113,6 +115,13 @@
 	return t.restored
 }
 
+// Answered returns when the store last answered, zero before its first answer.
+func (t *Table) Answered() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered
+}
+
 // Offer takes over a state that a peer holds, if it is newer. It reports whether it was.
 func (t *Table) Offer(rows []Row, version, changed int64) bool {
 	t.mu.Lock()
@@ -237,6 +246,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if err == nil {
+		t.answered = now
+	}
 	switch {
 	case err == nil && !t.lost.IsZero():
 		t.log.Info("store answers again", zap.Duration(field.Away, now.Sub(t.lost)))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -78,20 +78,32 @@
 	l.tolerance = tolerance
 }
 
-// Take spends the amount, unless the bucket is empty. It returns the time after
-// which the bucket is expected to have filled again.
-func (l *Ledger) Take(now time.Time, workspace string, limit Limit, amount float64) (time.Duration, bool) {
+// Taken is the outcome of Take.
+type Taken struct {
+	// OK is set if the amount was spent; otherwise Wait is the time after which the
+	// bucket is expected to have filled again.
+	OK   bool
+	Wait time.Duration
+	// Level is what the bucket held before, and Share the part of the limits in force.
+	Level, Share float64
+}
+
+// Take spends the amount, unless the bucket is empty.
+func (l *Ledger) Take(now time.Time, workspace string, limit Limit, amount float64) Taken {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(now, workspace, limit)
+	taken := Taken{Level: b.level, Share: l.share}
 	// The amount may exceed what is left, so that a large request passes a small bucket.
 	if b.level <= 0 {
 		rate := max(limit.Rate*l.share, 1)
-		return time.Duration((-b.level + min(amount, limit.Burst)) / rate * float64(time.Second)), false
+		taken.Wait = time.Duration((-b.level + min(amount, limit.Burst)) / rate * float64(time.Second))
+		return taken
 	}
 	b.level -= amount
 	l.own[workspace] += amount
-	return 0, true
+	taken.OK = true
+	return taken
 }
 
 // Return gives back what was taken for a request that no target ran.
@@ -140,6 +152,14 @@
 	l.share = share
 }
 
+// Share returns the part of the limits that this instance and the peers that it
+// hears may spend.
+func (l *Ledger) Share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share
+}
+
 // Own returns a copy of what this instance has spent.
 func (l *Ledger) Own() Spent {
 	l.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -57,7 +57,7 @@
 				f.report(now, i, heard)
 			}
 			for range requests {
-				if _, ok := l.Take(now, "w", f.limit, 50); ok {
+				if l.Take(now, "w", f.limit, 50).OK {
 					total += 50
 				}
 			}
@@ -138,10 +138,8 @@
 // Guards against a fresh burst for each restart of all instances.
 func TestBucketStartsEmpty(t *testing.T) {
 	l := NewLedger(Tolerance{})
-	_, ok := l.Take(start, "w", Limit{Rate: 100, Burst: 100}, 10)
-	require.False(t, ok)
-	_, ok = l.Take(start.Add(time.Second), "w", Limit{Rate: 100, Burst: 100}, 10)
-	require.True(t, ok)
+	require.False(t, l.Take(start, "w", Limit{Rate: 100, Burst: 100}, 10).OK)
+	require.True(t, l.Take(start.Add(time.Second), "w", Limit{Rate: 100, Burst: 100}, 10).OK)
 }
 
 // Guards against reports that come late or from an earlier start of a peer.
@@ -154,10 +152,8 @@
 	l.Report(now, "p", 5, Spent{"w": 300})
 	l.Report(now, "p", 4, Spent{"w": 9000})
 	l.Report(now, "p", 6, Spent{"w": 50})
-	_, ok := l.Take(now, "w", limit, 750)
-	require.True(t, ok)
-	_, ok = l.Take(now, "w", limit, 1)
-	require.False(t, ok, "200 and 50 of the peer and 750 of this instance are the whole bucket")
+	require.True(t, l.Take(now, "w", limit, 750).OK)
+	require.False(t, l.Take(now, "w", limit, 1).OK, "200 and 50 of the peer and 750 of this instance are the whole bucket")
 }
 
 // Guards against refused requests that use up a quota.
@@ -166,11 +162,9 @@
 	l := NewLedger(Tolerance{})
 	l.Open(start, "w", limit)
 	now := start.Add(100 * time.Second)
-	_, ok := l.Take(now, "w", limit, 100)
-	require.True(t, ok)
+	require.True(t, l.Take(now, "w", limit, 100).OK)
 	l.Return("w", 100)
-	_, ok = l.Take(now, "w", limit, 100)
-	require.True(t, ok)
+	require.True(t, l.Take(now, "w", limit, 100).OK)
 }
 
 // Guards against repeats beyond the ratio and the reserve.
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -1,6 +1,9 @@
 package quota
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Retries is the budget of requests that are sent again, for each service. Each
 // first send earns a part of a further one. The budgets of all instances together
@@ -36,6 +39,13 @@
 	return true
 }
 
+// Levels returns the further sends that each service's budget holds.
+func (r *Retries) Levels() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.services)
+}
+
 func (r *Retries) level(service string) float64 {
 	level, ok := r.services[service]
 	if !ok {
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -16,6 +16,12 @@
 	Tier = "tier"
 	// Config is the version of the configuration that decided.
 	Config = "config"
+	// Cost is what a request takes from its workspace's quota.
+	Cost = "cost"
+	// Bucket is what the quota's bucket held.
+	Bucket = "bucket"
+	// Share is the part of the quotas that the instances that are heard may spend.
+	Share = "share"
 	// PromptTokens is the number of tokens of the prompt.
 	PromptTokens = "prompt_tokens"
 	// Patience is the time that the caller gave, 0 without one.
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -22,12 +22,13 @@
 // boundedWriter writes lines in its own goroutine and drops them while its queue
 // is full, so that a log that is not read never holds up a request.
 type boundedWriter struct {
-	lines   chan []byte
-	dropped atomic.Int64
-	done    chan struct{}
-	out     io.Writer
-	closing sync.Once
-	quit    chan struct{}
+	lines chan []byte
+	// dropped counts the dropped lines that no line tells of yet, total all of them.
+	dropped, total atomic.Int64
+	done           chan struct{}
+	out            io.Writer
+	closing        sync.Once
+	quit           chan struct{}
 }
 
 func newBoundedWriter(out io.Writer) *boundedWriter {
@@ -42,6 +43,7 @@
 	case w.lines <- append([]byte(nil), p...):
 	default:
 		w.dropped.Add(1)
+		w.total.Add(1)
 	}
 	return len(p), nil
 }
@@ -101,17 +103,28 @@
 	}
 }
 
-// NewDecisionLogger returns a logger of JSON lines that drops lines rather than
-// wait for its output, and a function that writes what is queued.
-func NewDecisionLogger(level string, out io.Writer) (*zap.Logger, func(), error) {
+// DecisionLog is a log of JSON lines that drops lines rather than wait for its output.
+type DecisionLog struct {
+	*zap.Logger
+	writer *boundedWriter
+}
+
+// NewDecisionLog returns a log that writes to out from the given level on.
+func NewDecisionLog(level string, out io.Writer) (*DecisionLog, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, nil, fmt.Errorf("log level %q: %w", level, err)
+		return nil, fmt.Errorf("log level %q: %w", level, err)
 	}
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.EncodeDuration = zapcore.MillisDurationEncoder
 	writer := newBoundedWriter(out)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), writer, zap.NewAtomicLevelAt(parsed))
-	return zap.New(core), writer.close, nil
+	return &DecisionLog{Logger: zap.New(core), writer: writer}, nil
 }
+
+// Dropped returns the number of lines that were dropped.
+func (l *DecisionLog) Dropped() int64 { return l.writer.total.Load() }
+
+// Close writes what is queued.
+func (l *DecisionLog) Close() { l.writer.close() }
--- a/telemetry/log_bench_test.go
+++ b/telemetry/log_bench_test.go
@@ -11,11 +11,11 @@
 // BenchmarkRequestLine measures the line of a request's end, the longest one of a
 // request.
 func BenchmarkRequestLine(b *testing.B) {
-	log, closeLog, err := NewDecisionLogger("info", io.Discard)
+	log, err := NewDecisionLog("info", io.Discard)
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer closeLog()
+	defer log.Close()
 	for b.Loop() {
 		log.Info("ended", zap.String("request_id", "008bceea0cac3d0c"), zap.Int("tier", 17), zap.Int("sends", 1),
 			zap.Duration("elapsed", 1200*time.Millisecond), zap.String("route", "r-p3kb9rk"), zap.String("workspace", "nyle671"),
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -29,7 +29,7 @@
 // and against dropped lines that nothing tells of.
 func TestLogNeverBlocks(t *testing.T) {
 	out := &stuckWriter{release: make(chan struct{})}
-	log, closeLog, err := NewDecisionLogger("info", out)
+	log, err := NewDecisionLog("info", out)
 	require.NoError(t, err)
 	began := time.Now()
 	for i := range 3 * logQueue {
@@ -37,7 +37,7 @@
 	}
 	require.Less(t, time.Since(began), time.Second)
 	close(out.release)
-	closeLog()
+	log.Close()
 	out.mu.Lock()
 	defer out.mu.Unlock()
 	require.Contains(t, out.got.String(), `"msg":"log lines dropped"`)
@@ -45,6 +45,6 @@
 }
 
 func TestLogLevelIsChecked(t *testing.T) {
-	_, _, err := NewDecisionLogger("loud", &bytes.Buffer{})
+	_, err := NewDecisionLog("loud", &bytes.Buffer{})
 	require.Error(t, err)
 }
