fleet: tables with the same rows are not fetched from peers

Change: reports carry a digest of the rows' keys and versions; a copy with the same digest is not fetched.

TestTableWithTheSameRowsIsNotFetched failed before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -187,7 +187,9 @@
 	}
 	for _, t := range f.settings.Tables {
 		if current := t.Current(); current != nil {
-			message.Tables = append(message.Tables, &pb.TableVersion{Table: t.Name(), Changed: current.Changed})
+			message.Tables = append(message.Tables, &pb.TableVersion{
+				Table: t.Name(), Changed: current.Changed, Digest: current.Digest,
+			})
 		}
 	}
 	now := time.Now()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/mirror"
 )
 
 func newFleet(t testing.TB) *Fleet {
@@ -101,3 +103,35 @@
 		})
 	}
 }
+
+// rowsOnce is a table of the store that never changes.
+type rowsOnce []mirror.Row
+
+func (r rowsOnce) Load(context.Context, string) ([]mirror.Row, int64, error) { return r, 10, nil }
+
+func (r rowsOnce) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (mirror.Changes, error) {
+	<-ctx.Done()
+	return mirror.Changes{Version: after}, ctx.Err()
+}
+
+// Guards against a fetch of the whole table from each instance that starts: it has
+// read the table at a later version, but its rows are the same.
+func TestTableWithTheSameRowsIsNotFetched(t *testing.T) {
+	f, now := newFleet(t), time.Now()
+	table := mirror.NewTable("op", rowsOnce{{Key: "config", Version: 7}}, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	go table.Run(ctx)
+	defer cancel()
+	require.Eventually(t, func() bool { return table.Current() != nil }, time.Second, time.Millisecond)
+	started := report("p", 1, 1, "z1")
+	started.Tables = []*pb.TableVersion{{Table: "op", Changed: 20, Digest: table.Current().Digest}}
+	require.True(t, f.accept(started, now))
+	_, newer := f.newest(table, now)
+	require.False(t, newer)
+	changed := report("p", 1, 2, "z1")
+	changed.Tables = []*pb.TableVersion{{Table: "op", Changed: 20, Digest: table.Current().Digest + 1}}
+	require.True(t, f.accept(changed, now))
+	address, newer := f.newest(table, now)
+	require.True(t, newer)
+	require.Equal(t, "p:1", address)
+}
--- a/fleet/heal.go
+++ b/fleet/heal.go
@@ -73,14 +73,20 @@
 	delete(behind, t.Name())
 }
 
-// newest returns a peer whose table is newer than the own copy. Without any copy
-// and any peer it returns a seed.
+// newest returns a peer whose table is newer than the own copy and differs from it:
+// an instance that has just read the table does not know when it last changed.
+// Without any copy and any peer it returns a seed.
 func (f *Fleet) newest(t *mirror.Table, now time.Time) (string, bool) {
-	version := t.Version()
+	var version int64
+	var digest uint64
+	if current := t.Current(); current != nil {
+		version, digest = current.Version, current.Digest
+	}
 	best, address := version, ""
 	for _, report := range f.Heard(now) {
 		for _, known := range report.GetTables() {
-			if known.GetTable() == t.Name() && known.GetChanged() > best {
+			differs := version == 0 || known.GetDigest() != digest
+			if known.GetTable() == t.Name() && known.GetChanged() > best && differs {
 				best, address = known.GetChanged(), report.GetAddress()
 			}
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/telemetry/field"
@@ -63,7 +65,21 @@
 	Version int64
 	// Changed is the version at which a row last changed, as far as it is known.
 	Changed int64
-	Rows    map[string]Row
+	// Digest is the same for copies with the same rows.
+	Digest uint64
+	Rows   map[string]Row
+}
+
+// digest sums up hashes of the rows, so that their order does not matter.
+func digest(rows map[string]Row) uint64 {
+	var sum uint64
+	for _, row := range rows {
+		d := xxhash.New()
+		_, _ = d.WriteString(row.Key) // xxhash never fails
+		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(row.Version)))
+		sum += d.Sum64()
+	}
+	return sum
 }
 
 // Table is the copy of one table.
@@ -211,7 +227,7 @@
 		return
 	}
 	if len(changes.Rows) == 0 && len(changes.Removed) == 0 {
-		t.current = &Snapshot{Version: changes.Version, Changed: t.current.Changed, Rows: t.current.Rows}
+		t.current = &Snapshot{Version: changes.Version, Changed: t.current.Changed, Digest: t.current.Digest, Rows: t.current.Rows}
 		return
 	}
 	rows := maps.Clone(t.current.Rows)
@@ -221,7 +237,7 @@
 	for _, key := range changes.Removed {
 		delete(rows, key)
 	}
-	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Rows: rows}
+	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Digest: digest(rows), Rows: rows}
 	t.signal()
 }
 
@@ -230,7 +246,7 @@
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
-	t.current = &Snapshot{Version: version, Changed: changed, Rows: byKey}
+	t.current = &Snapshot{Version: version, Changed: changed, Digest: digest(byKey), Rows: byKey}
 	t.signal()
 }
 
