quota: what peers spent before this instance knew the workspaces is not charged

The bucket in the log lines of the refusals (new) showed it: instances that had just started refused for up to 10 s with buckets at -0.3 to -1.8 million tokens. The spending of a peer whose report came before the configuration was decoded by the names of no workspaces, so it was taken for zero, and the peer's whole spending since its start was charged with the next report.

Ruled out: the silence of peers (share 1 in those lines), the digest of the tables (the same with the code before it), one workspace's burst (all workspaces of the instance were refused).

Change: the ledger keeps what peers have spent by the id in their reports, also of workspaces that it does not know.

TestEarlierSpendingOfPeersIsNotCharged failed before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,7 +43,7 @@
 	maxDatagram = 60 << 10
 )
 
-// Hash is the short form of a target's id or a workspace's name in reports.
+// Hash is the short form of a target's id in reports.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // Peer is what is known of another instance.
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -94,7 +94,7 @@
 		})
 	}
 	for workspace, amount := range i.ledger.Own() {
-		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: fleet.Hash(workspace), Amount: uint64(amount)})
+		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: workspace, Amount: uint64(amount)})
 	}
 	m.Versions = i.tracker.Report()
 	for _, c := range i.crashes.entries() {
@@ -107,12 +107,9 @@
 // received takes over what a peer has spent and what it knows of requests that
 // crash targets.
 func (i *Instance) received(m *pb.FleetReport) {
-	names := i.workspaceNames()
 	spent := make(quota.Spent, len(m.GetSpending()))
 	for _, s := range m.GetSpending() {
-		if name, ok := names[s.GetWorkspace()]; ok {
-			spent[name] = float64(s.GetAmount())
-		}
+		spent[s.GetWorkspace()] = float64(s.GetAmount())
 	}
 	i.ledger.Report(time.Now(), m.GetInstance(), m.GetIncarnation(), spent)
 	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
@@ -156,19 +153,6 @@
 	return c.records.Entries(now)
 }
 
-// workspaceNames maps the short forms in reports to workspaces.
-func (i *Instance) workspaceNames() map[uint32]string {
-	table := i.gateway.Table()
-	if table == nil {
-		return nil
-	}
-	names := make(map[uint32]string, len(table.Config().Workspaces))
-	for _, w := range table.Config().Workspaces {
-		names[fleet.Hash(w.Name)] = w.Name
-	}
-	return names
-}
-
 // takeLoads tells the groups what they have not granted: the shared broker what
 // instances placed alone, this instance's own groups what all others have.
 func (i *Instance) takeLoads(now time.Time) {
--- /dev/null
+++ b/internal/instance/quota_test.go
@@ -0,0 +1,37 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/quota"
+	"github.com/basilloom/basilloom/routing"
+)
+
+// Guards against an instance that starts, hears a peer before it has a
+// configuration, and then charges all that the peer has spent in its life to the
+// quotas, so that it refuses for many seconds.
+func TestEarlierSpendingOfPeersIsNotCharged(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	i := w.assemble("i1").Instance
+	report := func(sequence uint64, amount uint64) {
+		i.received(&pb.FleetReport{
+			Instance: "i2", Incarnation: 1, Sequence: sequence,
+			Spending: []*pb.WorkspaceSpending{{Workspace: quota.WorkspaceID("acme"), Amount: amount}},
+		})
+	}
+	report(1, 1_000_000)
+	limit := quota.Limit{Rate: 1000, Burst: 1000}
+	i.gateway.SetTable(routing.NewTable(routing.Config{
+		Version: 1, Workspaces: []routing.Workspace{{Name: "acme", Quota: routing.Quota{Rate: limit.Rate, Burst: limit.Burst}}},
+	}))
+	report(2, 1_000_010)
+	later := time.Now().Add(time.Second)
+	require.True(t, i.ledger.Take(later, "acme", limit, 1).OK)
+	report(3, 1_003_000)
+	require.False(t, i.ledger.Take(later, "acme", limit, 1).OK, "what the peer spends from now on counts")
+}
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -178,23 +178,30 @@
 // start starts an instance and waits until it is ready.
 func (w *world) start(name string) *node { return w.startAt(name, w.server.URL) }
 
-// startAt starts an instance that reaches the store at a URL.
-func (w *world) startAt(name, store string) *node {
+// assemble makes an instance that does not run yet.
+func (w *world) assemble(name string) *node { return w.assembleAt(name, w.server.URL) }
+
+func (w *world) assembleAt(name, store string) *node {
 	n := &node{reload: make(chan os.Signal, 1), ended: make(chan struct{}), path: filepath.Join(w.t.TempDir(), "settings.toml")}
 	_, port, err := net.SplitHostPort(freeAddress(w.t))
 	require.NoError(w.t, err)
 	text := fmt.Sprintf(settingsFile, name, port, freeAddress(w.t), freeAddress(w.t), strings.TrimPrefix(store, "http://"))
 	require.NoError(w.t, os.WriteFile(n.path, []byte(text), 0o600))
-	file := platform.SettingsFile{Path: n.path}
-	settings, err := file.Load()
+	settings, err := platform.SettingsFile{Path: n.path}.Load()
 	require.NoError(w.t, err)
 	n.Instance, err = New(settings, zap.NewNop(), func() int64 { return 0 })
 	require.NoError(w.t, err)
+	return n
+}
+
+// startAt starts an instance that reaches the store at a URL.
+func (w *world) startAt(name, store string) *node {
+	n := w.assembleAt(name, store)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() {
 		defer close(n.ended)
-		if err := n.Run(ctx, file, n.reload); err != nil {
+		if err := n.Run(ctx, platform.SettingsFile{Path: n.path}, n.reload); err != nil {
 			w.t.Errorf("instance %s: %v", name, err)
 		}
 	}()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limit is a token bucket over all instances: Rate a second up to Burst.
@@ -30,8 +32,13 @@
 	return limit.Burst + marginPart*(t.Overage*allowed+t.Slack)
 }
 
-// Spent is what one instance has spent for each workspace since its start.
-type Spent map[string]float64
+// WorkspaceID is the short form of a workspace's name in reports.
+func WorkspaceID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Spent is what one instance has spent for each workspace since its start. It is
+// kept by id, so that the spending of a workspace that the instance does not know
+// yet, or no longer, is not taken for new when it does.
+type Spent map[uint32]float64
 
 // Ledger is one instance's view of the buckets of all workspaces. A bucket that
 // the instance has not seen before starts empty: what was spent before a restart
@@ -101,7 +108,7 @@
 		return taken
 	}
 	b.level -= amount
-	l.own[workspace] += amount
+	l.own[WorkspaceID(workspace)] += amount
 	taken.OK = true
 	return taken
 }
@@ -165,8 +172,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	own := make(Spent, len(l.own))
-	for name, amount := range l.own {
-		own[name] = amount
+	for id, amount := range l.own {
+		own[id] = amount
 	}
 	return own
 }
@@ -182,15 +189,15 @@
 	if known && incarnation < last.incarnation {
 		return // an old message
 	}
-	for workspace, amount := range spent {
-		before := last.spent[workspace]
+	for workspace, b := range l.buckets {
+		id := WorkspaceID(workspace)
+		before := last.spent[id]
 		if restarted {
 			before = 0
 		}
-		b, ok := l.buckets[workspace]
-		if ok && known && amount > before {
+		if growth := spent[id] - before; known && growth > 0 {
 			l.bucket(now, workspace, b.limit)
-			b.level -= amount - before
+			b.level -= growth
 		}
 	}
 	l.peers[peer] = peerReport{incarnation: incarnation, spent: spent}
