quota: an instance that starts takes over its peers' levels

Change: reports carry the level of buckets that know what was spent before; a bucket younger than 2 s takes over the first one it hears. After a restart of all instances nobody knows and buckets begin empty as before.

TestStartedInstanceTakesOverTheLevel failed without it.

--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -93,7 +93,14 @@
 			AloneRunning: uint32(work.AloneRunning), AlonePromptTokens: uint32(work.AlonePromptTokens),
 		})
 	}
-	for workspace, amount := range i.ledger.Own() {
+	spent := i.ledger.Own()
+	for workspace, level := range i.ledger.Levels(time.Now()) {
+		m.Spending = append(m.Spending, &pb.WorkspaceSpending{
+			Workspace: workspace, Amount: uint64(spent[workspace]), Level: proto.Int64(int64(level)),
+		})
+		delete(spent, workspace)
+	}
+	for workspace, amount := range spent {
 		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: workspace, Amount: uint64(amount)})
 	}
 	m.Versions = i.tracker.Report()
@@ -107,11 +114,14 @@
 // received takes over what a peer has spent and what it knows of requests that
 // crash targets.
 func (i *Instance) received(m *pb.FleetReport) {
-	spent := make(quota.Spent, len(m.GetSpending()))
+	spent, levels := make(quota.Spent, len(m.GetSpending())), make(quota.Levels)
 	for _, s := range m.GetSpending() {
 		spent[s.GetWorkspace()] = float64(s.GetAmount())
+		if s.Level != nil {
+			levels[s.GetWorkspace()] = float64(s.GetLevel())
+		}
 	}
-	i.ledger.Report(time.Now(), m.GetInstance(), m.GetIncarnation(), spent)
+	i.ledger.Report(time.Now(), m.GetInstance(), m.GetIncarnation(), spent, levels)
 	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
 	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -40,9 +40,14 @@
 // yet, or no longer, is not taken for new when it does.
 type Spent map[uint32]float64
 
+// Levels is what an instance's buckets hold.
+type Levels map[uint32]float64
+
 // Ledger is one instance's view of the buckets of all workspaces. A bucket that
-// the instance has not seen before starts empty: what was spent before a restart
-// is unknown.
+// the instance has not seen before starts empty, as what was spent before is
+// unknown, and takes over the level of the first peer that knows it. Otherwise an
+// instance that starts beside full buckets would stay behind its peers by a whole
+// bucket, and refuse what they accept.
 type Ledger struct {
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -65,8 +70,19 @@
 	limit   Limit
 	level   float64
 	updated time.Time
+	opened  time.Time
+	// adopted is set once the level was taken over from a peer.
+	adopted bool
 }
 
+// settleTime is how long a bucket takes over the level of a peer that knows what was
+// spent before. It is several periods of reports, so that the peers of a new
+// instance are heard within it.
+const settleTime = 2 * time.Second
+
+// settled tells whether the level counts what was spent for a while.
+func (b *bucket) settled(now time.Time) bool { return b.adopted || now.Sub(b.opened) >= settleTime }
+
 // NewLedger returns a ledger without buckets.
 func NewLedger(tolerance Tolerance) *Ledger {
 	return &Ledger{
@@ -126,7 +142,7 @@
 func (l *Ledger) bucket(now time.Time, workspace string, limit Limit) *bucket {
 	b, ok := l.buckets[workspace]
 	if !ok {
-		b = &bucket{limit: limit, updated: now}
+		b = &bucket{limit: limit, updated: now, opened: now}
 		l.buckets[workspace] = b
 		return b
 	}
@@ -178,10 +194,24 @@
 	return own
 }
 
-// Report takes over what a peer has spent. The first report of a peer's start is
+// Levels returns what the buckets hold that count what was spent for a while.
+func (l *Ledger) Levels(now time.Time) Levels {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	levels := make(Levels, len(l.buckets))
+	for name, b := range l.buckets {
+		if b.settled(now) {
+			levels[WorkspaceID(name)] = l.bucket(now, name, b.limit).level
+		}
+	}
+	return levels
+}
+
+// Report takes over what a peer has spent, and its levels for buckets that do not
+// know what was spent before this instance's start. The first report of a peer's start is
 // charged as a whole, unless the peer was known before this instance started:
 // its earlier spending was charged by the instances that ran then.
-func (l *Ledger) Report(now time.Time, peer string, incarnation uint64, spent Spent) {
+func (l *Ledger) Report(now time.Time, peer string, incarnation uint64, spent Spent, levels Levels) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last, known := l.peers[peer]
@@ -199,6 +229,10 @@
 			l.bucket(now, workspace, b.limit)
 			b.level -= growth
 		}
+		if level, ok := levels[id]; ok && !b.settled(now) {
+			// The peer may not have heard yet of what this instance has spent.
+			b.level, b.updated, b.adopted = level-l.own[id], now, true
+		}
 	}
 	l.peers[peer] = peerReport{incarnation: incarnation, spent: spent}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		if heard(from, to) {
-			f.ledgers[to].Report(now, string(rune('a'+from)), 1, l.Own())
+			f.ledgers[to].Report(now, string(rune('a'+from)), 1, l.Own(), l.Levels(now))
 			f.heard[[2]int{from, to}] = f.now
 		}
 		if at, ok := f.heard[[2]int{from, to}]; ok && f.now-at < silence {
@@ -135,6 +135,25 @@
 	}
 }
 
+// Guards against an instance that starts beside full buckets and refuses what its
+// peers accept, and against a level taken from a peer that does not know it either.
+func TestStartedInstanceTakesOverTheLevel(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 1000}
+	old, started, other := NewLedger(Tolerance{}), NewLedger(Tolerance{}), NewLedger(Tolerance{})
+	old.Open(start, "w", limit)
+	now := start.Add(time.Minute)
+	started.Open(now, "w", limit)
+	other.Open(now, "w", limit)
+	started.Report(now, "other", 1, other.Own(), other.Levels(now))
+	require.False(t, started.Take(now, "w", limit, 1).OK)
+	require.True(t, old.Take(now, "w", limit, 600).OK)
+	started.Report(now, "old", 1, old.Own(), old.Levels(now))
+	require.True(t, started.Take(now, "w", limit, 400).OK)
+	require.False(t, started.Take(now, "w", limit, 1).OK, "the peer had spent 600 of 1000")
+	started.Report(now, "old", 1, old.Own(), old.Levels(now))
+	require.False(t, started.Take(now, "w", limit, 1).OK, "a level is taken over once")
+}
+
 // Guards against a fresh burst for each restart of all instances.
 func TestBucketStartsEmpty(t *testing.T) {
 	l := NewLedger(Tolerance{})
@@ -148,10 +167,10 @@
 	l := NewLedger(Tolerance{})
 	l.Open(start, "w", limit)
 	now := start.Add(1000 * time.Second)
-	l.Report(now, "p", 5, Spent{WorkspaceID("w"): 100})
-	l.Report(now, "p", 5, Spent{WorkspaceID("w"): 300})
-	l.Report(now, "p", 4, Spent{WorkspaceID("w"): 9000})
-	l.Report(now, "p", 6, Spent{WorkspaceID("w"): 50})
+	l.Report(now, "p", 5, Spent{WorkspaceID("w"): 100}, nil)
+	l.Report(now, "p", 5, Spent{WorkspaceID("w"): 300}, nil)
+	l.Report(now, "p", 4, Spent{WorkspaceID("w"): 9000}, nil)
+	l.Report(now, "p", 6, Spent{WorkspaceID("w"): 50}, nil)
 	require.True(t, l.Take(now, "w", limit, 750).OK)
 	require.False(t, l.Take(now, "w", limit, 1).OK, "200 and 50 of the peer and 750 of this instance are the whole bucket")
 }
