--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -91,7 +91,7 @@
 				m.Loads = append(m.Loads, &pb.TargetLoad{Target: Hash(fmt.Sprint(i)), Running: 3, PromptTokens: 4000})
 			}
 			for i := range c.workspaces {
-				m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: Hash(fmt.Sprint(i)), Amount: 12_345_678})
+				m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: Hash(fmt.Sprint(i)), Amount: 12_345_678, Level: proto.Int64(-100_000)})
 			}
 			size := 0
 			for b.Loop() {
