scheduler: an idle target is used although its learned estimate misses the deadline

After a slow spell the learned time to the first token exceeded the objective; all was refused by that estimate, whose weight halves in 30 s only, and no request ran that would have corrected it.

Change: a ticket that is late by the estimates is granted to an idle target whose initial estimate meets the deadline. One request at a time corrects the estimate.

TestIdleTargetIsUsedAfterASlowSpell failed before.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -92,11 +92,16 @@
 // Without one, waits tells whether one would once its prompts are done.
 func (g *Group) choose(now time.Time, w *waiting, open []*targetState) (best *targetState, chosen estimate, waits bool) {
 	chosen.cost = math.Inf(1)
+	// By the estimates, no target would meet the deadline any more.
+	late := w.latest.Before(now)
 	consider := func(s *targetState) {
 		if avoids(&w.ticket, s) {
 			return
 		}
 		e := g.estimate(now, &w.ticket, s)
+		if late && s.mayCorrect(now, &w.ticket) {
+			e.inTime = true
+		}
 		e.paced = g.paced(now, w, s)
 		switch {
 		case !e.finishes && g.finishesElsewhere(now, w):
@@ -114,6 +119,13 @@
 	return best, chosen, waits
 }
 
+// mayCorrect tells whether the target is idle and would meet the ticket's deadline by
+// its initial estimate. A refusal would then rest on what was learned in a slow
+// spell, and only a request that runs can correct it.
+func (s *targetState) mayCorrect(now time.Time, t *Ticket) bool {
+	return s.load(now) == 0 && s.speed.priorFirstToken(float64(t.PromptTokens)) <= t.Deadline.Sub(now).Seconds()
+}
+
 // finishesElsewhere tells whether a target of the set, busy or not, would give the
 // whole answer in time once the request begins there.
 func (g *Group) finishesElsewhere(now time.Time, w *waiting) bool {
--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -289,3 +289,20 @@
 	require.Equal(t, []string{"slow"}, granted(g.Submit(now, ticket(3, 200))))
 	require.Equal(t, []string{"slow"}, granted(g.Submit(now, ticket(4, 9000))), "no target finishes it")
 }
+
+// Guards against a group that refuses everything after a slow spell: its estimates
+// then miss every deadline, and no request runs that would correct them.
+func TestIdleTargetIsUsedAfterASlowSpell(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 2, PrefillTokensPerSecond: 100_000})
+	for range 20 {
+		g.targets["x"].speed.observe(t0, Completion{FirstToken: time.Second, Total: 2 * time.Second, PromptTokens: 1}, backlog{}, 1)
+	}
+	g.set("").setSpeeds(t0)
+	soon := func(t *Ticket) { t.Deadline = t0.Add(100 * time.Millisecond) }
+	decisions := g.Submit(t0, testTicket(1, soon))
+	require.Len(t, decisions, 1)
+	require.IsType(t, Grant{}, decisions[0])
+	decisions = g.Submit(t0, testTicket(2, soon))
+	require.Len(t, decisions, 1)
+	require.Equal(t, ReasonDeadline, decisions[0].(Refuse).Reason, "one request is enough to correct the estimate")
+}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -259,9 +259,13 @@
 
 // priorSeconds is the whole time of a request by the initial estimate.
 func (s *speed) priorSeconds(uncached float64, output, batch int) float64 {
+	return s.priorFirstToken(uncached) + s.priorInterval(batch)*float64(output)
+}
+
+// priorFirstToken is the time to the first token by the initial estimate.
+func (s *speed) priorFirstToken(uncached float64) float64 {
 	p := s.firstToken.prior
-	first := p[0].y + (p[1].y-p[0].y)*uncached/priorTokens
-	return first + s.priorInterval(batch)*float64(output)
+	return p[0].y + (p[1].y-p[0].y)*uncached/priorTokens
 }
 
 // priorInterval is the time between tokens by the initial estimate.
