fleet: one check of whether a peer was heard lately

Share and Owner each spelled out the same comparison with ownerSilence since the part of silent peers is left to them after that time. No change of behaviour.

Checked: race tests of fleet and quota, the linter on fleet, the quota, broker and configuration tests of internal/instance.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -141,6 +141,11 @@
 	return time.Duration(silentPeriods * float64(f.periodLocked()))
 }
 
+// isCurrent tells whether the peer was heard so lately that it may own groups.
+func (f *Fleet) isCurrent(p *Peer, now time.Time) bool {
+	return !p.Heard.IsZero() && now.Sub(p.Heard) <= f.ownerSilence()
+}
+
 // isSilent tells whether the peer has sent nothing for too long.
 func (f *Fleet) isSilent(p *Peer, now time.Time) bool {
 	return p.Heard.IsZero() || now.Sub(p.Heard) > max(minSilence, f.ownerSilence())
@@ -335,12 +340,12 @@
 	}
 	known, heard := 1, 1
 	for _, p := range f.peers {
-		silent := p.Heard.IsZero() || now.Sub(p.Heard) > f.ownerSilence()
-		if p.Leaving && silent {
+		current := f.isCurrent(p, now)
+		if p.Leaving && !current {
 			continue
 		}
 		known++
-		if !silent {
+		if current {
 			heard++
 		}
 	}
@@ -378,7 +383,7 @@
 		candidates = append(candidates, &self)
 	}
 	for _, p := range f.peers {
-		if !p.Leaving && !p.Heard.IsZero() && now.Sub(p.Heard) <= f.ownerSilence() && now.After(p.avoidUntil) {
+		if !p.Leaving && f.isCurrent(p, now) && now.After(p.avoidUntil) {
 			candidates = append(candidates, p)
 		}
 	}
