fleet: log and count the bytes of reports

The logs of the incident show which instances were late, not what fills the link between the regions. Each instance now logs every 5 s what it has sent to its peers and what its newest report consists of, and serves two counters.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,8 @@
 	failureBackoff = 2 * time.Second
 	// maxDatagram bounds a report, close to the largest IPv4 datagram without headers.
 	maxDatagram = 60 << 10
+	// trafficLogPeriod is the interval between log lines about the reports sent.
+	trafficLogPeriod = 5 * time.Second
 )
 
 // Hash returns the hash that identifies a target in reports.
@@ -91,6 +93,8 @@
 	sequence   uint64
 	leaving    bool
 	seeds      []string
+
+	traffic traffic
 }
 
 // New binds the datagram listener.
@@ -172,6 +176,7 @@
 		f.settings.Log.Error("report could not be encoded", zap.Error(err))
 		return
 	}
+	f.recordTraffic(message, len(addresses), len(data), time.Now())
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -15,6 +15,7 @@
 // instruments are the observable instruments of values that other packages hold.
 type instruments struct {
 	calls, connections, dropped  metric.Int64ObservableCounter
+	datagrams, reportBytes       metric.Int64ObservableCounter
 	peers, version               metric.Int64ObservableGauge
 	share, retryBudget, tableAge metric.Float64ObservableGauge
 }
@@ -39,6 +40,8 @@
 	counter(&m.calls, "basilloom_store_calls", "Calls to the platform's store by kind and outcome.")
 	counter(&m.connections, "basilloom_target_connections", "Connections to targets: opened, reused, and found stale (closed or with unexpected bytes).")
 	counter(&m.dropped, "basilloom_log_lines_dropped", "Log lines that were dropped because the output was not read.")
+	counter(&m.datagrams, "basilloom_report_datagrams", "Datagrams sent to other instances.")
+	counter(&m.reportBytes, "basilloom_report_bytes", "Bytes of the datagrams sent to other instances.")
 	gauge(&m.peers, "basilloom_peers_heard", "Other instances with a recent report.")
 	gauge(&m.version, "basilloom_config_version", "Version of the configuration in force.")
 	floatGauge(&m.share, "basilloom_quota_share", "Fraction of the fleet's limits that this instance and the peers with recent reports may spend.")
@@ -51,7 +54,7 @@
 		o.ObserveInt64(m.dropped, droppedLines())
 		i.observe(o, &m)
 		return nil
-	}, m.calls, m.connections, m.dropped, m.peers, m.version, m.share, m.retryBudget, m.tableAge)
+	}, m.calls, m.connections, m.dropped, m.datagrams, m.reportBytes, m.peers, m.version, m.share, m.retryBudget, m.tableAge)
 	if err != nil {
 		return fmt.Errorf("instance metrics: %w", err)
 	}
@@ -70,6 +73,9 @@
 	for how, n := range map[string]int64{"opened": stats.Opened, "reused": stats.Reused, "stale": stats.Stale} {
 		o.ObserveInt64(m.connections, n, metric.WithAttributes(attribute.String("how", how)))
 	}
+	datagrams, bytes := i.fleet.Traffic()
+	o.ObserveInt64(m.datagrams, datagrams)
+	o.ObserveInt64(m.reportBytes, bytes)
 	now := time.Now()
 	o.ObserveInt64(m.peers, int64(len(i.fleet.LiveReports(now))))
 	if table := i.gateway.Table(); table != nil {
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -88,6 +88,12 @@
 	Peer = "peer"
 	// Peers is the address or number of peers.
 	Peers = "peers"
+	// Datagrams is the number of datagrams sent to peers.
+	Datagrams = "datagrams"
+	// ReportBytes is the size of a report.
+	ReportBytes = "report_bytes"
+	// Loads is the number of targets whose load a report contains.
+	Loads = "loads"
 	// SinceLastReport is the time since the last report of a peer.
 	SinceLastReport = "silent"
 	// Callers is the address of the listener for callers.
