instance: bound the crash records in a report

Cause: each report carried every crash record, for 10 minutes, to each peer. After one crash of 12 targets a report grew from about 400 B to 4.9 KB and the fleet filled the link between the regions.

Ruled out: the store's limits and the instances' processors.

TestReportSizeDoesNotGrowWithCrashRecords fails before the change (29,580 B against 580 B).

--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -12,6 +12,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
 	"github.com/basilloom/basilloom/peer"
+	"github.com/basilloom/basilloom/scheduler"
 )
 
 // peerToken is the bearer token between instances. It is not secret: the platform's
@@ -81,7 +82,7 @@
 	}
 	settings := i.settings.Load()
 	self := broker.Peer{Name: settings.Instance, Address: settings.Peers}
-	hooks := broker.Hooks{OnQuarantine: i.recordCrashes}
+	hooks := broker.Hooks{OnQuarantine: func(entries []scheduler.QuarantineEntry) { i.applyCrashes(entries, fromGroup) }}
 	resolver := localResolver{self}
 	i.peers = peer.NewPool(key)
 	i.shared = broker.NewManager(i.runCtx, self.Name, fleetResolver{i}, i.groups, nil, hooks, i.log)
--- /dev/null
+++ b/internal/instance/crashes_test.go
@@ -0,0 +1,66 @@
+package instance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/scheduler"
+)
+
+// crashEntries returns records of n requests, each of which ran on one crashed target.
+func crashEntries(n int) []scheduler.QuarantineEntry {
+	var entries []scheduler.QuarantineEntry
+	for k := range n {
+		entries = append(entries, scheduler.QuarantineEntry{
+			Fingerprint: rand.Uint64() | 1, ValidFor: time.Minute, CrashedTargets: []string{fmt.Sprintf("i-%010x", k)},
+		})
+	}
+	return entries
+}
+
+// Guards against reports that grow with the number of crash records and fill the links
+// between the instances.
+func TestReportSizeDoesNotGrowWithCrashRecords(t *testing.T) {
+	i := newTestEnv(t).assemble("i1")
+	size := func() int {
+		m := &pb.FleetReport{}
+		i.fillReport(m)
+		return proto.Size(m)
+	}
+	i.applyCrashes(crashEntries(20), fromGroup)
+	largest := 0
+	for range 20 {
+		largest = max(largest, size())
+	}
+	i.applyCrashes(crashEntries(1000), fromGroup)
+	for range 20 {
+		require.LessOrEqual(t, size(), largest)
+	}
+}
+
+// Guards against crash records that do not reach a peer because reports are lost, and
+// against records that an instance that starts later never receives.
+func TestCrashRecordsReachPeers(t *testing.T) {
+	const reportPeriod, contact = 200 * time.Millisecond, 4 * time.Second
+	now := time.Now()
+	sender, peer, late := newCrashes(), newCrashes(), newCrashes()
+	sender.merge(now, crashEntries(40), fromGroup)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range contact / reportPeriod {
+		report := sender.forReport(now)
+		if rng.IntN(4) > 0 {
+			peer.merge(now, report, fromPeer)
+		}
+	}
+	require.Len(t, peer.entries(now), 40)
+	for range 2 * 40 {
+		late.merge(now, sender.forReport(now), fromPeer)
+	}
+	require.Len(t, late.entries(now), 40)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,7 +25,6 @@
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/rollout"
-	"github.com/basilloom/basilloom/scheduler"
 	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry"
 	"github.com/basilloom/basilloom/telemetry/field"
@@ -74,7 +73,7 @@
 	shared, local *broker.Manager
 	peers         *peer.Pool
 	peerServer    *http.Server
-	crashes       crashes
+	crashes       *crashes
 	tracker       *rollout.Tracker
 	status        storage.Table // holds the status of version orders
 	metrics       *telemetry.Metrics
@@ -109,7 +108,7 @@
 	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
 	i.registry = mirror.NewTable(platform.TableTargets, i.store, log)
 	i.targets = newTargetList(log)
-	i.crashes.records = scheduler.NewQuarantine()
+	i.crashes = newCrashes()
 	i.groups = &gateway.Groups{Links: zoneLinks(settings.Regions)}
 	i.tracker = rollout.NewTracker(i.groups.Versions)
 	i.status = i.store.Table(platform.TableStatus)
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,7 +103,7 @@
 		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: workspace, Amount: uint64(amount)})
 	}
 	m.Versions = i.tracker.Report()
-	for _, c := range i.crashes.entries() {
+	for _, c := range i.crashes.forReport(time.Now()) {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
 			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets,
 		})
@@ -129,38 +128,7 @@
 			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(),
 		})
 	}
-	i.recordCrashes(entries)
-}
-
-// recordCrashes records requests that crash targets and passes new ones to the groups.
-func (i *Instance) recordCrashes(entries []scheduler.QuarantineEntry) {
-	if !i.crashes.merge(entries) {
-		return
-	}
-	quarantined := i.crashes.entries()
-	i.log.Warn("crash records updated", zap.Int(field.CrashRecords, len(quarantined)))
-	i.shared.SetQuarantined(quarantined)
-	i.local.SetQuarantined(quarantined)
-}
-
-// crashes holds this instance's records of requests that crash targets.
-type crashes struct {
-	mu      sync.Mutex
-	records *scheduler.Quarantine
-}
-
-func (c *crashes) merge(entries []scheduler.QuarantineEntry) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(entries) > 0 && c.records.Merge(time.Now(), entries)
-}
-
-func (c *crashes) entries() []scheduler.QuarantineEntry {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.records.Expire(now)
-	return c.records.Entries(now)
+	i.applyCrashes(entries, fromPeer)
 }
 
 // updateLoads reports to the groups the load that they have not granted: to the shared
