rollout: do not shift to a version whose responses take several times as long

Cause: the canary showed 41 to 47 answers that took 2.2 to 3.3 times as long, and the order was shifted because that is no proof by the test of a single route (limit 2, four standard errors of an exponential distribution). After the shift the targets of the new version were full, and because a stream was counted at its end, the proof came 2.6 s later. Ruled out: reports between the instances (all stop within 0.1 s of each other) and the owner's decision (written within 0.1 s of the proof).

Change: the times to the first event are recorded when it arrives; the logarithms of the times are compared over all routes; the shift waits while the estimate is above 1.25, and the order is rolled back if it still is when the move would have to complete; in the first second of the shift the new version gets 30% of the requests.

TestSlowVersionIsNotShifted fails without the comparison (shifted at 2.5 times as long).

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -159,5 +159,6 @@
 	if a.req.firstByte == 0 {
 		a.req.firstByte = time.Since(a.req.arrived)
 	}
+	g.settings.Rollouts.ObserveTime(a.req.service.Name, a.req.routeHash(), a.slot.target.Version, a.firstByte)
 	g.settings.Metrics.firstByte.Record(context.Background(), a.firstByte.Seconds(), kindLabels[a.req.route.Kind])
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -200,7 +200,7 @@
 	defer rollouts.Begin(service, version)()
 	defer func() {
 		if result == pb.Result_RESULT_SERVED || result == pb.Result_RESULT_FAILED || result == pb.Result_RESULT_TARGET_DIED {
-			rollouts.Observe(service, a.req.routeHash(), version, result != pb.Result_RESULT_SERVED, a.firstByte)
+			rollouts.ObserveEnd(service, a.req.routeHash(), version, result != pb.Result_RESULT_SERVED)
 		}
 	}()
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
--- a/moves/verdict.go
+++ b/moves/verdict.go
@@ -66,10 +66,17 @@
 	return regressedSince(move, from, to, first)
 }
 
-// AddResponses adds responses, the number of failures among them, and the total time of
-// those that did not fail.
-func (t *Totals) AddResponses(responses, failures int64, totalTime time.Duration) {
-	t.addCounter(&pb.EvidenceCounter{Requests: responses, Failures: failures, FirstTokenMsSum: totalTime.Milliseconds()})
+// AddResponses adds responses and the number of failures among them.
+func (t *Totals) AddResponses(responses, failures int64) {
+	t.Requests += responses
+	t.Failures += failures
+}
+
+// AddTimes adds response times, given their number and sum.
+func (t *Totals) AddTimes(count int64, total time.Duration) {
+	if count > 0 {
+		t.firstToken.addCell(float64(count), float64(total.Milliseconds())/float64(count))
+	}
 }
 
 // TotalsRegressed reports whether a version is clearly worse than the old one and why:
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -28,8 +28,8 @@
 const (
 	// Canary sends a small share of new requests to the new version.
 	Canary Phase = "canary"
-	// Shifted sends all new requests to the new version while requests on the old
-	// version finish.
+	// Shifted sends new requests to the new version, at first rampShare of them, while
+	// requests on the old version finish.
 	Shifted    Phase = "shifted"
 	Done       Phase = "done"
 	RolledBack Phase = "rolled back"
@@ -50,6 +50,11 @@
 	// completionFraction is the fraction of the duration after which the move is done
 	// even if requests still run on the old version.
 	completionFraction = 0.88
+	// rampShare is the new version's share of new requests in the first rampTime after the
+	// shift. A version that becomes slow or fails only under load is stopped before all
+	// requests go to it.
+	rampShare = 0.3
+	rampTime  = time.Second
 	// propagationTime is the time allowed for all instances to apply the shift.
 	propagationTime = time.Second
 	// minResponses is the number of responses from the new version needed for the shift.
@@ -62,7 +67,8 @@
 
 // Evidence sums what all instances have observed on one route.
 type Evidence struct {
-	From, To moves.Totals
+	From, To           moves.Totals
+	FromTimes, ToTimes Times
 }
 
 // Regressed reports whether the new version is worse on any route or on all routes
@@ -76,6 +82,9 @@
 		all.From.Add(e.From)
 		all.To.Add(e.To)
 	}
+	if s := compareTimes(routes); s.proved() {
+		return fmt.Sprintf("responses take %.1f times as long as those of the old version", s.ratio()), true
+	}
 	return moves.TotalsRegressed(&all.From, &all.To, maxFailureIncrease, 0)
 }
 
@@ -103,12 +112,18 @@
 	}
 	fraction := in.Elapsed.Seconds() / in.Order.Duration.Seconds()
 	if in.Phase == Canary {
+		if s := compareTimes(in.Evidence); s.preventsShift() {
+			if fraction < completionFraction {
+				return Canary, ""
+			}
+			return RolledBack, fmt.Sprintf("responses seem to take %.1f times as long as those of the old version", s.ratio())
+		}
 		var responses int64
 		for _, e := range in.Evidence {
 			responses += e.To.Requests
 		}
 		if in.Ready && fraction >= shiftFraction && responses >= minResponses {
-			return Shifted, fmt.Sprintf("%d answers without sign of badness", responses)
+			return Shifted, fmt.Sprintf("%d responses show no regression; they take %.2f times as long", responses, compareTimes(in.Evidence).ratio())
 		}
 		return Canary, ""
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,6 +17,12 @@
 	return t
 }
 
+// observe records a request that has ended.
+func observe(t *Tracker, route uint32, version string, failed bool, responseTime time.Duration) {
+	t.ObserveTime("s", route, version, responseTime)
+	t.ObserveEnd("s", route, version, failed)
+}
+
 // serve simulates the requests of an instance; fails selects those that fail on the new
 // version. It returns the number of requests sent to the new version.
 func serve(t *Tracker, requests int, fails func(n int) bool) (exposed int) {
@@ -24,7 +32,7 @@
 		if version == "v2" {
 			exposed++
 		}
-		t.Observe("s", 1, version, failed, 50*time.Millisecond)
+		observe(t, 1, version, failed, 50*time.Millisecond)
 	}
 	return exposed
 }
@@ -49,12 +57,12 @@
 func TestRegressionOnOneRouteIsDetected(t *testing.T) {
 	tracker := newTracker()
 	for range 300 {
-		tracker.Observe("s", 1, "v1", false, time.Millisecond)
-		tracker.Observe("s", 2, "v1", false, time.Millisecond)
-		tracker.Observe("s", 2, "v2", false, time.Millisecond)
+		observe(tracker, 1, "v1", false, time.Millisecond)
+		observe(tracker, 2, "v1", false, time.Millisecond)
+		observe(tracker, 2, "v2", false, time.Millisecond)
 	}
 	for range 8 {
-		tracker.Observe("s", 1, "v2", true, time.Millisecond)
+		observe(tracker, 1, "v2", true, time.Millisecond)
 	}
 	_, regressed := tracker.StopIfRegressed(order)
 	require.True(t, regressed)
@@ -65,7 +73,7 @@
 	tracker := newTracker()
 	for n := range 5000 {
 		version := tracker.Choose("s", false)
-		tracker.Observe("s", 1, version, n%8 == 0, 50*time.Millisecond)
+		observe(tracker, 1, version, n%8 == 0, 50*time.Millisecond)
 	}
 	_, regressed := tracker.StopIfRegressed(order)
 	require.False(t, regressed)
@@ -82,6 +90,8 @@
 	tracker.SetPhase("s", 6, RolledBack)
 	require.True(t, tracker.Allowed("s", "v2"), "the phase belongs to another order")
 	tracker.SetPhase("s", 7, Shifted)
+	require.Equal(t, "v1", tracker.Choose("s", true), "the share grows in steps")
+	tracker.moves["s"].shiftedAt = time.Now().Add(-rampTime)
 	require.Equal(t, "v2", tracker.Choose("s", false))
 	tracker.SetPhase("s", 7, RolledBack)
 	require.Equal(t, "v1", tracker.Choose("s", false))
@@ -127,7 +137,7 @@
 // Guards against a wrong count of the requests running on the old version.
 func TestRequestsRunningOnTheOldVersion(t *testing.T) {
 	tracker := newTracker()
-	tracker.Observe("s", 1, "v1", false, time.Millisecond)
+	observe(tracker, 1, "v1", false, time.Millisecond)
 	end := tracker.Begin("s", "v1")
 	tracker.Begin("s", "v2")
 	_, running := tracker.Evidence(order)
@@ -136,3 +146,39 @@
 	_, running = tracker.Evidence(order)
 	require.Zero(t, running)
 }
+
+// serveTimes simulates responses of both versions on three routes with unlike, widely
+// spread response times; the new version takes slowdown times as long.
+func serveTimes(t *Tracker, rng *rand.Rand, requests int, slowdown float64) {
+	for n := range requests {
+		route := uint32(n % 3)
+		version := t.Choose("s", false)
+		responseTime := float64(route+1) * 30 * math.Exp(0.8*rng.NormFloat64())
+		if version == "v2" {
+			responseTime *= slowdown
+		}
+		observe(t, route, version, false, time.Duration(responseTime*float64(time.Millisecond)))
+	}
+}
+
+// Guards against shifting all requests to a version whose responses take several times
+// as long, and against stopping a version that is as fast as the old one.
+func TestSlowVersionIsNotShifted(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		slowdown float64
+		shifted  bool
+	}{{"as fast", 1, true}, {"slightly slower", 1.05, true}, {"slower", 2.5, false}, {"many times slower", 8, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				tracker, rng := newTracker(), rand.New(rand.NewPCG(seed, seed))
+				serveTimes(tracker, rng, 3000, c.slowdown)
+				evidence, _ := tracker.Evidence(order)
+				next, reason := Next(Input{Order: order, Phase: Canary, Elapsed: 9 * time.Second, Evidence: evidence, Ready: true})
+				require.Equal(t, c.shifted, next == Shifted, reason)
+				_, stopped := tracker.StopIfRegressed(order)
+				require.False(t, c.shifted && stopped)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rollout/slowdown.go
@@ -0,0 +1,87 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxOverallSlowdown limits the ratio of the response times over all routes. It is
+	// lower than the limit of a single route, because all routes together give more
+	// evidence.
+	maxOverallSlowdown = 1.5
+	// maxShiftSlowdown limits the estimated ratio with which all requests are shifted.
+	// A new version gets few requests before that and should be no slower than the old one.
+	maxShiftSlowdown = 1.25
+	// slowdownSigma is the distance from the limit in standard errors that proves a
+	// slowdown. It is high because the check is repeated.
+	slowdownSigma = 4
+	// minLogVariance is the minimum variance assumed for the logarithm of a response time.
+	minLogVariance = 0.25
+	// minTimes is the number of response times that each version needs on a route.
+	minTimes = 3
+)
+
+// Times sums response times by their logarithms, so that a few long requests do not
+// decide a comparison.
+type Times struct{ count, logSum, logSquareSum float64 }
+
+// logUnit is the unit of the sums of logarithms in reports.
+const logUnit = 1e-3
+
+func (t *Times) add(responseTime time.Duration) {
+	l := math.Log(max(1, float64(responseTime)/float64(time.Millisecond)))
+	t.count++
+	t.logSum += l
+	t.logSquareSum += l * l
+}
+
+func (t *Times) merge(other Times) {
+	t.count += other.count
+	t.logSum += other.logSum
+	t.logSquareSum += other.logSquareSum
+}
+
+func (t Times) mean() float64 { return t.logSum / t.count }
+
+// squaredDeviations is the sum of the squared distances from the mean.
+func (t Times) squaredDeviations() float64 { return t.logSquareSum - t.logSum*t.logSum/t.count }
+
+// slowdown is the estimated logarithm of the ratio of the new version's response times
+// to the old version's, with its standard error. Without evidence, the error is infinite.
+type slowdown struct{ log, standardError float64 }
+
+// compareTimes combines the routes on which both versions have response times, each
+// weighted by its precision.
+func compareTimes(routes map[uint32]*Evidence) slowdown {
+	deviations, degrees := 0.0, 0.0
+	for _, e := range routes {
+		if e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes {
+			deviations += e.FromTimes.squaredDeviations() + e.ToTimes.squaredDeviations()
+			degrees += e.FromTimes.count + e.ToTimes.count - 2
+		}
+	}
+	if degrees == 0 {
+		return slowdown{standardError: math.Inf(1)}
+	}
+	variance := max(minLogVariance, deviations/degrees)
+	weights, sum := 0.0, 0.0
+	for _, e := range routes {
+		if e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes {
+			weight := 1 / (variance * (1/e.FromTimes.count + 1/e.ToTimes.count))
+			weights += weight
+			sum += weight * (e.ToTimes.mean() - e.FromTimes.mean())
+		}
+	}
+	return slowdown{log: sum / weights, standardError: 1 / math.Sqrt(weights)}
+}
+
+func (s slowdown) ratio() float64 { return math.Exp(s.log) }
+
+// preventsShift reports whether the estimate is too high for a shift.
+func (s slowdown) preventsShift() bool { return s.log > math.Log(maxShiftSlowdown) }
+
+// proved reports whether the slowdown is above the limit beyond doubt.
+func (s slowdown) proved() bool {
+	return s.log-math.Log(maxOverallSlowdown) > slowdownSigma*s.standardError
+}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/moves"
 )
 
 // Tracker is one instance's view of the moves: which version its requests use and
@@ -22,6 +23,8 @@
 type move struct {
 	order Order
 	phase Phase
+	// shiftedAt is when this instance learned of phase Shifted.
+	shiftedAt time.Time
 	// stopReason is set once this instance has found that the new version is worse.
 	stopReason  string
 	local       map[uint32]*versionCounts
@@ -33,8 +36,10 @@
 
 type responseCount struct {
 	responses, failures uint64
-	// totalTime sums the times of the responses that did not fail.
+	// totalTime sums the times to the first event or the response, and times their
+	// logarithms.
 	totalTime time.Duration
+	times     Times
 }
 
 type peerCounts struct {
@@ -66,9 +71,14 @@
 func (t *Tracker) SetPhase(service string, id int64, phase Phase) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m, ok := t.moves[service]; ok && m.order.ID == id && !m.phase.Ended() {
-		m.phase = phase
+	m, ok := t.moves[service]
+	if !ok || m.order.ID != id || m.phase.Ended() {
+		return
+	}
+	if phase == Shifted && m.phase != Shifted {
+		m.shiftedAt = time.Now()
 	}
+	m.phase = phase
 }
 
 // Active returns the orders that have not ended.
@@ -85,7 +95,7 @@
 }
 
 // Choose returns the version for a request of the service; empty means any. A retry
-// avoids the new version during the canary phase.
+// avoids the new version until all requests go to it.
 func (t *Tracker) Choose(service string, retry bool) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,13 +113,23 @@
 		return ""
 	case m.stopReason != "" || m.phase == RolledBack || !newReady:
 		return from
-	case m.phase == Shifted:
-		return m.order.To
-	case !retry && rand.Float64() < CanaryShare:
+	}
+	share := m.share(time.Now())
+	if share == 1 || (!retry && rand.Float64() < share) {
 		return m.order.To
-	default:
-		return from
 	}
+	return from
+}
+
+// share returns the new version's share of new requests.
+func (m *move) share(now time.Time) float64 {
+	switch {
+	case m.phase != Shifted:
+		return CanaryShare
+	case now.Sub(m.shiftedAt) < rampTime:
+		return rampShare
+	}
+	return 1
 }
 
 // noVersion matches no target. It keeps requests from a rolled-back version when
@@ -155,8 +175,27 @@
 	}
 }
 
-// Observe records a response of a version.
-func (t *Tracker) Observe(service string, route uint32, version string, failed bool, responseTime time.Duration) {
+// ObserveEnd records the end of a request that a version ran.
+func (t *Tracker) ObserveEnd(service string, route uint32, version string, failed bool) {
+	t.observe(service, route, version, func(r *responseCount) {
+		r.responses++
+		if failed {
+			r.failures++
+		}
+	})
+}
+
+// ObserveTime records the time to the first event or the response of a version. It is
+// recorded before the end of a stream, so that a slow version shows within its first
+// requests.
+func (t *Tracker) ObserveTime(service string, route uint32, version string, responseTime time.Duration) {
+	t.observe(service, route, version, func(r *responseCount) {
+		r.totalTime += responseTime
+		r.times.add(responseTime)
+	})
+}
+
+func (t *Tracker) observe(service string, route uint32, version string, record func(*responseCount)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
@@ -168,15 +207,10 @@
 		c = &versionCounts{}
 		m.local[route] = c
 	}
-	r := &c.from
 	if version == m.order.To {
-		r = &c.to
-	}
-	r.responses++
-	if failed {
-		r.failures++
+		record(&c.to)
 	} else {
-		r.totalTime += responseTime
+		record(&c.from)
 	}
 }
 
@@ -201,7 +235,19 @@
 }
 
 func (r responseCount) message() *pb.AnswerCount {
-	return &pb.AnswerCount{Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds())}
+	return &pb.AnswerCount{
+		Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds()), Timed: uint64(r.times.count),
+		TimeLogSum: uint64(r.times.logSum / logUnit), TimeLogSquareSum: uint64(r.times.logSquareSum / logUnit),
+	}
+}
+
+// decodeTimes returns the response times of a report.
+func decodeTimes(c *pb.AnswerCount) Times {
+	return Times{
+		count:        float64(c.GetTimed()),
+		logSum:       float64(c.GetTimeLogSum()) * logUnit,
+		logSquareSum: float64(c.GetTimeLogSquareSum()) * logUnit,
+	}
 }
 
 // SetPeer stores the counts reported by a peer.
@@ -229,7 +275,7 @@
 				e = &Evidence{}
 				routes[c.GetRoute()] = e
 			}
-			addResponses(e, c)
+			e.add(c)
 			fromRunning += int(c.GetFromRunning())
 		}
 	}
@@ -240,11 +286,15 @@
 	return routes, fromRunning
 }
 
-func addResponses(e *Evidence, c *pb.VersionCount) {
-	e.From.AddResponses(int64(c.GetFrom().GetAnswers()), int64(c.GetFrom().GetFailures()),
-		time.Duration(c.GetFrom().GetTimeMsSum())*time.Millisecond)
-	e.To.AddResponses(int64(c.GetTo().GetAnswers()), int64(c.GetTo().GetFailures()),
-		time.Duration(c.GetTo().GetTimeMsSum())*time.Millisecond)
+func (e *Evidence) add(c *pb.VersionCount) {
+	addCounts(&e.From, &e.FromTimes, c.GetFrom())
+	addCounts(&e.To, &e.ToTimes, c.GetTo())
+}
+
+func addCounts(totals *moves.Totals, times *Times, c *pb.AnswerCount) {
+	totals.AddResponses(int64(c.GetAnswers()), int64(c.GetFailures()))
+	totals.AddTimes(int64(c.GetTimed()), time.Duration(c.GetTimeMsSum())*time.Millisecond)
+	times.merge(decodeTimes(c))
 }
 
 // StopIfRegressed stops the new version on this instance if the evidence shows a regression,
