forward: bound what a target may send before its response

A target in trouble may send bytes that are no answer without end.

All that comes before the response to a request is now bounded by 256 KiB, after which the connection is closed; an event of a stream by 256 KiB instead of 1 MiB; the body of a rejection is read beside the request and up to 64 KiB. Bodies of plain responses were bounded already. The other HTTP clients (store, engines, peers) use net/http, which bounds headers, and bounded readers for bodies.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -58,11 +59,16 @@
 	// maxInlineBody is the largest body that is written before the response is read.
 	// It fits into the socket buffer, so the write does not wait for the target.
 	maxInlineBody = 16 << 10
-	// maxDiscard bounds the body of a discarded response.
-	maxDiscard = 1 << 20
+	// maxHead bounds what is read before the response to a request begins: its header,
+	// and all interim responses and responses to earlier requests. A target may send
+	// bytes without end.
+	maxHead = 256 << 10
 )
 
-var errClosedEarly = errors.New("connection closed before the response")
+var (
+	errClosedEarly = errors.New("connection closed before the response")
+	errTooLong     = errors.New("response header exceeds the size limit")
+)
 
 // Do sends the request once to the target. Target identifies one start of a target,
 // so connections to an earlier owner of the address are not used. The error is an
@@ -126,6 +132,7 @@
 // readResponse returns the response to the request and discards interim responses and
 // those to earlier requests.
 func (c *conn) readResponse(request *Request) (*Response, error) {
+	c.limit.left = maxHead
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
@@ -135,6 +142,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK && request.Matches(response.Header) {
+			c.limit.left = math.MaxInt64 // the reader of the body bounds its length
 			return response, nil
 		}
 		if err := discard(response); err != nil {
@@ -145,9 +153,9 @@
 
 // discard reads an interim response, or one to an earlier request, to its end.
 func discard(response *Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscard))
+	_, err := io.Copy(io.Discard, response.Body)
 	err = errors.Join(err, response.Body.Close())
-	if err != nil || n == maxDiscard || response.Close {
+	if err != nil || response.Close {
 		return fmt.Errorf("discard the response to another request: %w", errors.Join(err, errClosedEarly))
 	}
 	return nil
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -185,3 +185,57 @@
 	require.NoError(t, listener.Close())
 	require.True(t, p.RefusesConnections(context.Background(), target))
 }
+
+// endlessTarget accepts connections and, after the request's header, writes the prefix
+// and then the filler without end. It returns its address and the number of bytes
+// written when the connection was closed.
+func endlessTarget(t *testing.T, prefix, filler string) (string, <-chan int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	written := make(chan int, 1)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 4096))
+		n, err := c.Write([]byte(prefix))
+		for block := []byte(strings.Repeat(filler, 1+16<<10/len(filler))); err == nil; {
+			var more int
+			more, err = c.Write(block)
+			n += more
+		}
+		written <- n
+	}()
+	return listener.Addr().String(), written
+}
+
+// Guards against reading bytes without end, which no response follows, into memory.
+func TestEndlessBytesBeforeAResponse(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"no line end":         {"", "x"},
+		"one header line":     {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "X-Again: 1\r\n"},
+		"interim responses":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"other responses":     {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+		"body of another one": {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, written := endlessTarget(t, c.prefix, c.filler)
+			p := forward.NewPool()
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := p.Do(ctx, forward.Target{ID: "w", Address: address}, request("1", ""))
+			var sendErr *forward.Error
+			require.ErrorAs(t, err, &sendErr)
+			require.True(t, sendErr.Written)
+			require.NoError(t, ctx.Err(), "the connection must be closed before the deadline")
+			const limit, socketBuffers = 256 << 10, 8 << 20
+			require.Less(t, <-written, limit+socketBuffers)
+		})
+	}
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -87,6 +89,7 @@
 	net.Conn
 	target Target
 	reader *bufio.Reader
+	limit  *limitedReader
 	// wrote is set before the first byte of the current request is written.
 	wrote bool
 	// writeDone receives the result of a body that is written while the response is
@@ -95,6 +98,21 @@
 	expires   time.Time
 }
 
+// limitedReader fails once more than left bytes have been read.
+type limitedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 func (c *conn) abort() { _ = c.Close() } // the request's outcome is already known
 
 // writeCompleted reports whether the whole request has been written.
@@ -131,7 +149,8 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &conn{Conn: opened, target: target, reader: bufio.NewReaderSize(opened, readBufferLen)}, nil
+	limit := &limitedReader{reader: opened, left: math.MaxInt64}
+	return &conn{Conn: opened, target: target, reader: bufio.NewReaderSize(limit, readBufferLen), limit: limit}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,7 +6,7 @@
 )
 
 // maxEvent is the maximum size of one event; a stream with a longer one is rejected.
-const maxEvent = 1 << 20
+const maxEvent = 256 << 10
 
 // eventSplitter splits a byte stream into complete server-sent events.
 type eventSplitter struct {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -215,13 +215,15 @@
 		o, result = a.sendFailed(ctx, err)
 		return o
 	}
-	defer func() { _ = response.Body.Close() }()
+	closeBody := func() { _ = response.Body.Close() }
+	defer func() { closeBody() }()
 	a.req.sends++
 	info := a.gateway.settings.HeaderCodec.DecodeResponse(response.StatusCode, response.Header)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	var o outcome
 	switch {
 	case info.WrongTarget || info.NotRun && response.StatusCode != http.StatusBadRequest:
+		closeBody = func() { go discardBody(response.Body) }
 		o, result = a.notRun(response)
 	case success && !info.Signed:
 		a.req.possiblyRan = true
@@ -327,10 +329,19 @@
 // notRun ends an attempt that the target reports as not run.
 func (a *attempt) notRun(response *forward.Response) (outcome, pb.Result) {
 	a.markTried()
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxPlainResponse)) // keeps the connection reusable
 	return outcome{refusal: a.req.notSent("the target did not run the request"), reason: "not run: " + response.Status}, pb.Result_RESULT_NOT_DISPATCHED
 }
 
+// maxDiscardedBody is the largest unused body that is read to keep the connection reusable.
+const maxDiscardedBody = 64 << 10
+
+// discardBody reads the rest of a body and closes it. It runs beside the request, because a
+// target may send bytes without end.
+func discardBody(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBody)) // the connection is closed if this fails
+	_ = body.Close()
+}
+
 // relayPlain reads a whole response and passes it on.
 func (a *attempt) relayPlain(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainResponse+1))
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -276,3 +278,37 @@
 	require.Equal(t, "i1", n.settings.Load().Instance)
 	require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
 }
+
+// Guards against a target that rejects requests with a body without end and delays their
+// next attempt.
+func TestEndlessBodyOfARejectionDoesNotDelayTheRetry(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var rejected atomic.Int32
+	endless := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rejected.Add(1)
+		rw.Header().Set("Not-Executed", "full")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		for r.Context().Err() == nil {
+			_, _ = rw.Write([]byte("x"))
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})}
+	go func() { _ = endless.Serve(listener) }()
+	t.Cleanup(func() { _ = endless.Close() })
+	env.worker("w-good", worker.Always(worker.Serve))
+	env.store.Put(platform.TableTargets, "w-endless", env.encode(map[string]any{
+		"service": "app", "address": listener.Addr().String(), "zone": "z1", "version": "v1", "slots": 4, "state": "ready", "sequence": 1, "born": 1,
+	}))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	for range 10 {
+		startedAt := time.Now()
+		require.Equal(t, http.StatusOK, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+		require.Less(t, time.Since(startedAt), time.Second)
+	}
+	require.Positive(t, rejected.Load())
+}
