broker: submit a copy of the ticket

Cause: the gateway submits the ticket to the shared client and, if the owner does not respond, the same ticket to the local client, which set a new id; the link then deleted a call under the wrong id, so the owner could count it as running.

The client now sets the id in a copy. TestSubmitDoesNotShareTheTicket fails before (id 2 instead of 1).

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -307,3 +307,21 @@
 	r.recordReport(time.Now(), "a", true)
 	require.Equal(t, []bool{false, true}, leaving())
 }
+
+// Guards against a ticket that the shared and the local client use at the same time under
+// different ids.
+func TestSubmitDoesNotShareTheTicket(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	fleet := newFakeFleet(ctx, "a")
+	ticket := &pb.Ticket{Tier: 1}
+	first, second := newTestClient(ctx, fleet), newTestClient(ctx, fleet)
+	second.Submit(testKey, &pb.Ticket{}, time.Now())
+	call := first.Submit(testKey, ticket, time.Now())
+	id := call.ticket.GetId()
+	second.Submit(testKey, ticket, time.Now())
+	require.Equal(t, id, call.ticket.GetId())
+	require.Zero(t, ticket.GetId())
+	cancel()
+	first.Wait()
+	second.Wait()
+}
--- a/broker/client.go
+++ b/broker/client.go
@@ -127,9 +127,10 @@
 	refused *RefusedError
 }
 
-// Submit sends a ticket to the owner of the group. The client sets the ticket's
-// id. The deadline is the time by which the first token is due.
+// Submit sends a copy of the ticket, with an id, to the owner of the group. The deadline
+// is the time by which the first token is due.
 func (c *Client) Submit(key GroupKey, ticket *pb.Ticket, deadline time.Time) *Call {
+	ticket = proto.CloneOf(ticket)
 	c.mu.Lock()
 	c.sequence++
 	ticket.Id = c.sequence
