drain: count requests that arrive while a shutdown waits

The race detector reported drain.Wait against a request that arrived at shutdown: a sync.WaitGroup must not be incremented from zero while Wait runs, and requests still arrive for 2.5 s after SIGTERM. A counter with a mutex replaces it, in the gateway and in the product's own entry.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 
 	mu       sync.Mutex
 	draining bool
-	inFlight sync.WaitGroup
+	inFlight drain.Counter
 }
 
 // New returns an Entry.
@@ -83,7 +83,7 @@
 	if e.draining {
 		return false
 	}
-	e.inFlight.Add(1)
+	e.inFlight.Begin()
 	return true
 }
 
@@ -93,7 +93,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
-	return drain.Wait(ctx, &e.inFlight)
+	return e.inFlight.Wait(ctx)
 }
 
 // ServeHTTP serves one call.
@@ -103,7 +103,7 @@
 		refuse(http.StatusServiceUnavailable, ReasonShuttingDown, "this instance is shutting down").write(w, id)
 		return
 	}
-	defer e.inFlight.Done()
+	defer e.inFlight.End()
 	req, reqErr := e.admit(w, r, id)
 	if reqErr != nil {
 		e.settings.Metrics.countRefused(r.Context(), req, reqErr)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -78,9 +78,9 @@
 
 // cancelStream frees the engine's batch slot of a response that is no longer read.
 func (e *Entry) cancelStream(target engine.Target, stream string) {
-	e.inFlight.Add(1)
+	e.inFlight.Begin()
 	go func() {
-		defer e.inFlight.Done()
+		defer e.inFlight.End()
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		_ = e.settings.Engine.Cancel(ctx, target, stream) // the engine eventually drops unread streams itself
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +40,7 @@
 	settings Settings
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
-	inFlight sync.WaitGroup
+	inFlight drain.Counter
 }
 
 // New returns a Gateway without a configuration.
@@ -66,13 +65,13 @@
 
 // Wait returns when all requests have ended, or with the context's error.
 func (g *Gateway) Wait(ctx context.Context) error {
-	return drain.Wait(ctx, &g.inFlight)
+	return g.inFlight.Wait(ctx)
 }
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
+	g.inFlight.Begin()
+	defer g.inFlight.End()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
