test/e2e: take free ports while no process is started

TestFreePortStaysFree failed once: a process that a parallel test forks holds a copy of the closed listener until its exec.

--- a/test/e2e/region_test.go
+++ b/test/e2e/region_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,9 +105,12 @@
 
 // freePort returns an address with a free port on the host. The host must be used
 // by one instance only: on 127.0.0.1, another listener or an outgoing connection
-// could take the port before the instance listens on it.
+// could take the port before the instance listens on it. The fork lock prevents a process
+// started by another test from holding a copy of the closed listener until its exec.
 func freePort(t *testing.T, host string) string {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
