fleet: two instances of a zone read the store, the others copy from them

The two instances of an availability zone with the highest scores follow the feeds. An instance to which the store does not respond says so in its reports and is not counted; without reports of its zone an instance reads by itself. A change is announced to the zone at once, and the others fetch the difference from a peer of their zone, or of another zone if their own has nothing newer. The time of the store's recovery is passed on, so that entries that lapsed during an outage keep their time to return.

TestFewInstancesReadTheStore fails if all instances read (more than 22 calls of 5 changes).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,7 +94,9 @@
 	leaving    bool
 	seeds      []string
 
-	traffic traffic
+	// announced wakes Run to report a changed table to the instances of the same zone.
+	announced chan struct{}
+	traffic   traffic
 }
 
 // New binds the datagram listener.
@@ -107,7 +109,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for reports: %w", err)
 	}
-	return &Fleet{settings: settings, conn: conn, peers: make(map[string]*Peer), seeds: settings.Seeds}, nil
+	f := &Fleet{
+		settings: settings, conn: conn, peers: make(map[string]*Peer), seeds: settings.Seeds, announced: make(chan struct{}, 1),
+	}
+	for _, t := range settings.Tables {
+		t.SetReads(func() bool { return f.ReadsStore(t.Name(), time.Now()) })
+	}
+	return f, nil
 }
 
 // Run exchanges reports until ctx ends.
@@ -123,13 +131,31 @@
 			_ = f.conn.Close() // ends receive
 			group.Wait()
 			return
+		case <-f.announced:
+			f.report(f.isNear)
+			continue
 		case <-timer.C:
 		}
 		timer.Reset(f.period())
-		f.report()
+		f.report(everyPeer)
 	}
 }
 
+// Announce reports a changed table to the instances of the same availability zone
+// without waiting for the next periodic report.
+func (f *Fleet) Announce() {
+	select {
+	case f.announced <- struct{}{}:
+	default:
+	}
+}
+
+// everyPeer selects all peers for a report.
+func everyPeer(*Peer) bool { return true }
+
+// isNear selects the peers of the same availability zone.
+func (f *Fleet) isNear(p *Peer) bool { return p.Report.GetZone() == f.settings.Zone }
+
 func (f *Fleet) period() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,12 +187,12 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	f.report()
+	f.report(everyPeer)
 }
 
-// report sends this instance's report to all peers.
-func (f *Fleet) report() {
-	message, addresses := f.newReport()
+// report sends this instance's report to the selected peers.
+func (f *Fleet) report(selected func(*Peer) bool) {
+	message, addresses := f.newReport(selected)
 	if len(addresses) == 0 {
 		return
 	}
@@ -188,9 +214,9 @@
 	}
 }
 
-// newReport returns the next report, not yet filled, and the addresses of the peers. It
-// removes the peers whose retention has ended.
-func (f *Fleet) newReport() (*pb.FleetReport, []string) {
+// newReport returns the next report, not yet filled, and the addresses of the selected
+// peers. It removes the peers whose retention has ended.
+func (f *Fleet) newReport(selected func(*Peer) bool) (*pb.FleetReport, []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sequence++
@@ -201,7 +227,7 @@
 	for _, t := range f.settings.Tables {
 		if current := t.Current(); current != nil {
 			message.Tables = append(message.Tables, &pb.TableVersion{
-				Table: t.Name(), Changed: current.Changed, Digest: current.Digest,
+				Table: t.Name(), Changed: current.Changed, Digest: current.Digest, StoreUnavailable: t.StoreUnavailable(),
 			})
 		}
 	}
@@ -213,7 +239,9 @@
 			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
 			continue
 		}
-		addresses = append(addresses, p.Address)
+		if selected(p) {
+			addresses = append(addresses, p.Address)
+		}
 	}
 	return message, addresses
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -76,7 +76,7 @@
 	for _, p := range f.peers {
 		p.DiscoveredAt, p.LastReportAt = now.Add(-2*peerRetention), time.Time{}
 	}
-	f.newReport()
+	f.newReport(everyPeer)
 	require.InDelta(t, 1, f.Share(now), 0)
 }
 
@@ -134,3 +134,51 @@
 	require.True(t, newer)
 	require.Equal(t, "p:1", address)
 }
+
+// readTables returns the versions of a report whose sender has read the table from the store.
+func readTables(unavailable bool) []*pb.TableVersion {
+	return []*pb.TableVersion{{Table: "op", Changed: 1, StoreUnavailable: unavailable}}
+}
+
+// Guards against an availability zone in which every instance reads the store, or none
+// does because the readers stopped, left or are refused by the store.
+func TestReadersOfAZone(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	now := time.Now()
+	// readers returns the instances of zone z1 that read the store, given what each one's
+	// report says of the store. Instances in stopped send no reports.
+	readers := func(unavailable, stopped map[string]bool) []string {
+		var reading []string
+		for _, self := range names {
+			if stopped[self] {
+				continue
+			}
+			f := newFleet(t)
+			f.settings.Self = self
+			for _, name := range append(names, "far") {
+				zone := "z1"
+				if name == "far" {
+					zone = "z2"
+				}
+				m := report(name, 1, 1, zone)
+				m.Tables = readTables(unavailable[name])
+				if !stopped[name] {
+					f.accept(m, now)
+				}
+			}
+			if f.ReadsStore("op", now) {
+				reading = append(reading, self)
+			}
+		}
+		return reading
+	}
+	first := readers(nil, nil)
+	require.Len(t, first, readersPerZone)
+	successors := readers(nil, map[string]bool{first[0]: true, first[1]: true})
+	require.Len(t, successors, readersPerZone)
+	require.NotContains(t, successors, first[0])
+	refused := readers(map[string]bool{first[0]: true, first[1]: true}, nil)
+	require.Subset(t, refused, append(successors, first...), "refused readers go on trying")
+	alone := newFleet(t)
+	require.True(t, alone.ReadsStore("op", now))
+}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -11,6 +13,7 @@
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
+	"github.com/basilloom/basilloom/membership"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/telemetry/field"
 )
@@ -18,10 +21,14 @@
 // Times and sizes of the synchronization of tables with peers.
 const (
 	syncPeriod = 150 * time.Millisecond
-	// feedDelay is how long a peer's table may be newer before it is fetched. The
-	// store's feed delivers changes within this time unless it refuses this instance.
-	feedDelay    = 400 * time.Millisecond
-	fetchTimeout = 600 * time.Millisecond
+	// feedDelay is how long a peer's table may be newer before an instance that reads the
+	// store fetches it. The store's feed delivers changes within this time unless it
+	// refuses this instance.
+	feedDelay = 400 * time.Millisecond
+	// readersPerZone is the number of instances of an availability zone that read the
+	// store. The others copy the tables from their peers.
+	readersPerZone = 2
+	fetchTimeout   = 600 * time.Millisecond
 	// maxTableBytes bounds the size of a fetched table.
 	maxTableBytes = 8 << 20
 )
@@ -54,29 +61,63 @@
 	if _, ok := behindSince[t.Name()]; !ok {
 		behindSince[t.Name()] = now
 	}
-	if now.Sub(behindSince[t.Name()]) < feedDelay {
+	if f.ReadsStore(t.Name(), now) && now.Sub(behindSince[t.Name()]) < feedDelay {
 		return
 	}
-	response, err := fetch(ctx, client, address, t.Name())
+	after := t.Version()
+	c, members, err := fetch(ctx, client, address, t.Name(), after)
+	if err == nil && c.Version > 0 {
+		_, err = t.ApplyFromPeer(c)
+	}
+	if errors.Is(err, mirror.ErrIncompleteCopy) && after > 0 {
+		if c, members, err = fetch(ctx, client, address, t.Name(), 0); err == nil {
+			_, err = t.ApplyFromPeer(c)
+		}
+	}
 	if err != nil {
 		f.settings.Log.Info("table could not be fetched from a peer", zap.String(field.Table, t.Name()), zap.String(field.Address, address), zap.Error(err))
 		return
 	}
-	f.AddMembers(response.GetMembers())
-	rows := make([]mirror.Row, 0, len(response.GetRows()))
-	for _, r := range response.GetRows() {
-		rows = append(rows, mirror.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion()})
+	f.AddMembers(members)
+	delete(behindSince, t.Name())
+}
+
+// ReadsStore reports whether this instance reads a table from the store: it is among
+// the readersPerZone instances of its availability zone with the highest scores, not
+// counting those without a recent report and those to which the store does not respond.
+func (f *Fleet) ReadsStore(table string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := readerScore(f.settings.Self)
+	before := 0
+	for _, p := range f.peers {
+		if p.Leaving || !f.isCurrent(p, now) || p.Report.GetZone() != f.settings.Zone || readerScore(p.Name) < own {
+			continue
+		}
+		if canRead(p.Report, table) {
+			before++
+		}
 	}
-	if response.GetVersion() > 0 {
-		t.ApplyFromPeer(rows, response.GetVersion(), response.GetChanged())
+	return before < readersPerZone
+}
+
+func readerScore(instance string) uint64 { return membership.Score("store reader", instance) }
+
+// canRead reports whether the sender has a copy of the table and the store responds to it.
+func canRead(report *pb.FleetReport, table string) bool {
+	for _, t := range report.GetTables() {
+		if t.GetTable() == table {
+			return !t.GetStoreUnavailable()
+		}
 	}
-	delete(behindSince, t.Name())
+	return false
 }
 
-// newestCopy returns the address of the peer with the newest copy of a table that is
-// newer than the local copy and differs from it. The digests are compared because an
-// instance that has just read the table cannot know when it last changed. If there is
-// neither a local copy nor a peer with one, it returns a seed.
+// newestCopy returns the address of a peer whose copy of a table is newer than the local
+// copy and differs from it: one of the same availability zone if there is any, else the
+// one with the newest copy. The digests are compared because an instance that has just
+// read the table cannot know when it last changed. If there is neither a local copy nor
+// a peer with one, it returns a seed.
 func (f *Fleet) newestCopy(t *mirror.Table, now time.Time) (string, bool) {
 	var version int64
 	var digest uint64
@@ -84,15 +125,25 @@
 		version, digest = current.Version, current.Digest
 	}
 	newest, address := version, ""
+	var near []string
 	for _, report := range f.LiveReports(now) {
 		for _, remote := range report.GetTables() {
 			differs := version == 0 || remote.GetDigest() != digest
-			if remote.GetTable() == t.Name() && remote.GetChanged() > newest && differs {
+			if remote.GetTable() != t.Name() || remote.GetChanged() <= version || !differs {
+				continue
+			}
+			if report.GetZone() == f.settings.Zone {
+				near = append(near, report.GetAddress())
+			}
+			if remote.GetChanged() > newest {
 				newest, address = remote.GetChanged(), report.GetAddress()
 			}
 		}
 	}
-	if address == "" && version == 0 {
+	switch {
+	case len(near) > 0:
+		address = near[rand.IntN(len(near))]
+	case address == "" && version == 0:
 		address = f.seed()
 	}
 	return address, address != ""
@@ -107,15 +158,24 @@
 	}}
 }
 
-func fetch(ctx context.Context, client *http.Client, address, table string) (*pb.FetchTableResponse, error) {
+// fetch fetches a peer's copy of a table, or its difference from the version after.
+func fetch(ctx context.Context, client *http.Client, address, table string, after int64) (mirror.PeerCopy, []*pb.FleetMember, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	peer := basilloomv1connect.NewFleetServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxTableBytes))
-	response, err := peer.FetchTable(ctx, connect.NewRequest(&pb.FetchTableRequest{Table: table}))
+	response, err := peer.FetchTable(ctx, connect.NewRequest(&pb.FetchTableRequest{Table: table, After: after}))
 	if err != nil {
-		return nil, err
+		return mirror.PeerCopy{}, nil, err
+	}
+	m := response.Msg
+	c := mirror.PeerCopy{Version: m.GetVersion(), Changed: m.GetChanged(), Digest: m.GetDigest(), After: after, Keys: m.GetKeys()}
+	for _, r := range m.GetRows() {
+		c.Rows = append(c.Rows, mirror.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion()})
+	}
+	if m.GetSinceRecoveryMs() > 0 {
+		c.RecoveredAt = time.Now().Add(-time.Duration(m.GetSinceRecoveryMs()) * time.Millisecond)
 	}
-	return response.Msg, nil
+	return c, m.GetMembers(), nil
 }
 
 // Handler serves this instance's copies of the tables to its peers.
@@ -130,16 +190,22 @@
 // FetchTable implements basilloomv1connect.FleetServiceHandler. A table without a local
 // copy has version 0.
 func (s tableServer) FetchTable(_ context.Context, r *connect.Request[pb.FetchTableRequest]) (*connect.Response[pb.FetchTableResponse], error) {
-	response := &pb.FetchTableResponse{Members: s.fleet.Members()}
+	response := &pb.FetchTableResponse{}
+	if r.Msg.GetAfter() == 0 {
+		response.Members = s.fleet.Members()
+	}
 	for _, t := range s.fleet.settings.Tables {
-		current := t.Current()
-		if t.Name() != r.Msg.GetTable() || current == nil {
+		if t.Name() != r.Msg.GetTable() {
 			continue
 		}
-		response.Version, response.Changed = current.Version, current.Changed
-		for _, row := range current.Rows {
+		c := t.CopyAfter(r.Msg.GetAfter())
+		response.Version, response.Changed, response.Digest, response.Keys = c.Version, c.Changed, c.Digest, c.Keys
+		for _, row := range c.Rows {
 			response.Rows = append(response.Rows, &pb.TableRow{Key: row.Key, Value: row.Value, Version: row.Version})
 		}
+		if !c.RecoveredAt.IsZero() {
+			response.SinceRecoveryMs = max(1, time.Since(c.RecoveredAt).Milliseconds())
+		}
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/instance/fleet_test.go
+++ b/internal/instance/fleet_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilloom/basilloom/internal/standin/worker"
+	"github.com/basilloom/basilloom/platform"
 )
 
 func write(t *testing.T, path, text string) {
@@ -69,3 +71,40 @@
 		return second.call(t, http.MethodGet, "/safe/1", "", nil).status == 401
 	}, applyTime, 20*time.Millisecond)
 }
+
+// Guards against calls to the store that grow with the number of instances, and against
+// an instance that follows its peers and applies a change late.
+func TestFewInstancesReadTheStore(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.worker("w-a", worker.Always(worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	var nodes []*node
+	for _, name := range []string{"i1", "i2", "i3", "i4", "i5", "i6"} {
+		nodes = append(nodes, env.start(name))
+	}
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return len(n.fleet.LiveReports(time.Now())) == len(nodes)-1 }, applyTime, 10*time.Millisecond)
+	}
+	feeds := func() (total int64) {
+		for _, n := range nodes {
+			counts := n.store.Calls()[platform.CallFeed]
+			total += counts.Answered.Load() + counts.Lost.Load()
+		}
+		return total
+	}
+	time.Sleep(time.Second)
+	before := feeds()
+	const changes = 5
+	for k := range changes {
+		key := fmt.Sprintf("key-%d", k+2)
+		env.configure(testRoutes(), []string{key}, 0)
+		for _, n := range nodes {
+			require.Eventually(t, func() bool {
+				return n.call(t, http.MethodGet, "/safe/1", "", map[string]string{"Authorization": "Token " + key}).status == 200
+			}, time.Second, 5*time.Millisecond)
+		}
+	}
+	// Two readers follow the changes of one table; calls that waited before them end too.
+	require.LessOrEqual(t, feeds()-before, int64(2*changes+2*len(nodes)))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,6 @@
 // Package mirror keeps a copy of a table of the platform's store. It follows the
-// store's change feed and accepts newer copies from peers while the store is
-// unreachable, so that a change reaches every instance that can reach either.
+// store's change feed or, while other instances of its availability zone do that, the
+// copies of its peers. A change reaches every instance that can reach either.
 package mirror
 
 import (
@@ -9,6 +9,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,9 @@
 	// one second of the 2.5 s within which a change must take effect.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
+	// readsCheckInterval is how often an instance that relies on its peers checks whether
+	// it has to read the store.
+	readsCheckInterval = 100 * time.Millisecond
 	// minWatchInterval batches the changes of a burst into one call.
 	minWatchInterval = 100 * time.Millisecond
 )
@@ -89,6 +93,8 @@
 	source  Source
 	log     *zap.Logger
 	changed chan struct{}
+	// reads reports whether this instance reads the store or relies on peers that do.
+	reads func() bool
 
 	mu      sync.Mutex
 	current *Snapshot
@@ -99,11 +105,18 @@
 	respondedAt time.Time
 }
 
-// NewTable returns an empty copy of the named table.
+// NewTable returns an empty copy of the named table, which reads the store.
 func NewTable(name string, source Source, log *zap.Logger) *Table {
-	return &Table{name: name, source: source, log: log.With(zap.String(field.Table, name)), changed: make(chan struct{}, 1)}
+	return &Table{
+		name: name, source: source, log: log.With(zap.String(field.Table, name)), changed: make(chan struct{}, 1),
+		reads: func() bool { return true },
+	}
 }
 
+// SetReads sets the function that decides whether the table reads the store. It must be
+// called before Run.
+func (t *Table) SetReads(reads func() bool) { t.reads = reads }
+
 // Changed returns a channel that receives a value after a change. Changes that have
 // not been received yet share one value.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
@@ -140,16 +153,99 @@
 	return t.respondedAt
 }
 
+// StoreUnavailable reports whether the store does not respond to this instance's calls.
+func (t *Table) StoreUnavailable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.outageSince.IsZero()
+}
+
+// PeerCopy is a peer's copy of a table, or its difference from an earlier version.
+type PeerCopy struct {
+	Version, Changed int64
+	Digest           uint64
+	// Rows are all rows, or those that changed after the version After.
+	Rows  []Row
+	After int64
+	// Keys are the hashes of the keys of all rows if After is set.
+	Keys []uint64
+	// RecoveredAt is when the store last recovered from an outage, zero if unknown.
+	RecoveredAt time.Time
+}
+
+// KeyHash returns the hash of a key in PeerCopy.Keys.
+func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// CopyAfter returns the table's copy for a peer that has the given version, or the whole
+// copy if the version is 0. Without a local copy, the returned version is 0.
+func (t *Table) CopyAfter(version int64) PeerCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil {
+		return PeerCopy{}
+	}
+	c := PeerCopy{
+		Version: t.current.Version, Changed: t.current.Changed, Digest: t.current.Digest, After: version, RecoveredAt: t.recoveredAt,
+	}
+	for key, row := range t.current.Rows {
+		if row.Version > version {
+			c.Rows = append(c.Rows, row)
+		}
+		if version > 0 {
+			c.Keys = append(c.Keys, KeyHash(key))
+		}
+	}
+	return c
+}
+
+// ErrIncompleteCopy reports that a difference does not lead to the peer's copy; the whole
+// copy is needed.
+var ErrIncompleteCopy = errors.New("difference does not lead to the peer's copy of the table")
+
 // ApplyFromPeer adopts a peer's copy if it is newer, and reports whether it was.
-func (t *Table) ApplyFromPeer(rows []Row, version, changed int64) bool {
+func (t *Table) ApplyFromPeer(c PeerCopy) (bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current != nil && version <= t.current.Version {
-		return false
+	if t.current != nil && c.Version <= t.current.Version {
+		return false, nil
 	}
-	t.setLocked(rows, version, changed)
-	t.log.Info("table copied from a peer", zap.Int64(field.Version, version), zap.Int(field.Rows, len(rows)))
-	return true
+	rows := c.Rows
+	if c.After > 0 {
+		rows = t.patchedLocked(c)
+	}
+	snapshot := newSnapshot(rows, c.Version, c.Changed)
+	if snapshot.Digest != c.Digest {
+		return false, ErrIncompleteCopy
+	}
+	if c.RecoveredAt.After(t.recoveredAt) {
+		t.recoveredAt = c.RecoveredAt
+	}
+	t.current = snapshot
+	t.signal()
+	t.log.Info("table copied from a peer", zap.Int64(field.Version, c.Version), zap.Int(field.Rows, len(c.Rows)))
+	return true, nil
+}
+
+// patchedLocked applies a difference to the current rows.
+func (t *Table) patchedLocked(c PeerCopy) []Row {
+	kept := make(map[uint64]bool, len(c.Keys))
+	for _, key := range c.Keys {
+		kept[key] = true
+	}
+	rows := slices.Clone(c.Rows)
+	changed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		changed[row.Key] = true
+	}
+	if t.current == nil {
+		return rows
+	}
+	for key, row := range t.current.Rows {
+		if kept[KeyHash(key)] && !changed[key] {
+			rows = append(rows, row)
+		}
+	}
+	return rows
 }
 
 // Run follows the store until ctx ends.
@@ -157,6 +253,10 @@
 	retry := minRetry
 	reload := true
 	for ctx.Err() == nil {
+		if t.Current() != nil && !t.reads() {
+			sleep(ctx, readsCheckInterval)
+			continue
+		}
 		startedAt := time.Now()
 		err := t.update(ctx, reload)
 		switch {
@@ -206,7 +306,8 @@
 	if t.current != nil && sameRows(t.current.Rows, rows) {
 		changed = t.current.Changed
 	}
-	t.setLocked(rows, version, changed)
+	t.current = newSnapshot(rows, version, changed)
+	t.signal()
 }
 
 func sameRows(current map[string]Row, rows []Row) bool {
@@ -244,13 +345,12 @@
 	t.signal()
 }
 
-func (t *Table) setLocked(rows []Row, version, changed int64) {
+func newSnapshot(rows []Row, version, changed int64) *Snapshot {
 	byKey := make(map[string]Row, len(rows))
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
-	t.current = &Snapshot{Version: version, Changed: changed, Digest: digest(byKey), Rows: byKey}
-	t.signal()
+	return &Snapshot{Version: version, Changed: changed, Digest: digest(byKey), Rows: byKey}
 }
 
 func (t *Table) signal() {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -86,9 +86,58 @@
 	store.Put("op", "config", []byte("v1"))
 	require.Eventually(t, func() bool { return value(table, "config") == "v1" }, applyTime, 5*time.Millisecond)
 	version := table.Version()
-	require.True(t, table.ApplyFromPeer([]mirror.Row{{Key: "config", Value: []byte("v9"), Version: version + 100}}, version+100, version+100))
-	require.False(t, table.ApplyFromPeer([]mirror.Row{{Key: "config", Value: []byte("v0"), Version: version}}, version, version))
+	require.True(t, applyFromPeer(t, table, mirror.Row{Key: "config", Value: []byte("v9"), Version: version + 100}))
+	require.False(t, applyFromPeer(t, table, mirror.Row{Key: "config", Value: []byte("v0"), Version: version}))
 	store.Put("op", "other", []byte("x"))
 	time.Sleep(300 * time.Millisecond)
 	require.Equal(t, "v9", value(table, "config"))
 }
+
+// applyFromPeer applies a peer's copy that consists of one row.
+func applyFromPeer(t *testing.T, table *mirror.Table, row mirror.Row) bool {
+	t.Helper()
+	peer := mirror.NewTable("op", staticSource{row}, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go peer.Run(ctx)
+	require.Eventually(t, func() bool { return peer.Current() != nil }, applyTime, time.Millisecond)
+	applied, err := table.ApplyFromPeer(peer.CopyAfter(0))
+	require.NoError(t, err)
+	return applied
+}
+
+// staticSource is a Source with fixed rows, whose newest version is that of the last row.
+type staticSource []mirror.Row
+
+func (s staticSource) Load(context.Context, string) ([]mirror.Row, int64, error) {
+	return s, s[len(s)-1].Version, nil
+}
+
+func (s staticSource) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (mirror.Changes, error) {
+	<-ctx.Done()
+	return mirror.Changes{}, ctx.Err()
+}
+
+// Guards against a difference from a peer that leaves out a removed or a changed row, or
+// is applied to another copy than the one that it was made for.
+func TestDifferenceFromPeer(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	before := staticSource{{Key: "a", Version: 1}, {Key: "b", Version: 2}, {Key: "c", Version: 3}}
+	after := staticSource{{Key: "a", Version: 1}, {Key: "c", Version: 5, Value: []byte("new")}, {Key: "d", Version: 6}}
+	follow := func(source staticSource) *mirror.Table {
+		table := mirror.NewTable("op", source, zap.NewNop())
+		go table.Run(ctx)
+		require.Eventually(t, func() bool { return table.Current() != nil }, applyTime, time.Millisecond)
+		return table
+	}
+	table, peer, other := follow(before), follow(after), follow(staticSource{{Key: "x", Version: 2}, {Key: "y", Version: 3}})
+	difference := peer.CopyAfter(table.Version())
+	require.Len(t, difference.Rows, 2, "only the rows that changed")
+	applied, err := table.ApplyFromPeer(difference)
+	require.NoError(t, err)
+	require.True(t, applied)
+	require.Equal(t, peer.Current().Rows, table.Current().Rows)
+	_, err = other.ApplyFromPeer(difference)
+	require.ErrorIs(t, err, mirror.ErrIncompleteCopy)
+}
