fleet: relay reports between zones

An instance sends its report every 200 ms to the instances of its zone, and to three random ones of each other zone, at most 40 datagrams a second; these pass it on within their zone with their next report. Three, so that small zones get all reports directly and the loss of some relays does not hide an instance. A relayed report that is known is not decoded. Ruled out: one relay for each zone (its link and processor would carry the zone's traffic, and its loss would hide the zone until another is chosen).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,10 +26,16 @@
 
 // Periods and times of the reports.
 const (
-	// reportPeriod is the time between two reports to each peer.
+	// reportPeriod is the shortest time between two reports to each peer of the same zone,
+	// and between two reports to each other zone.
 	reportPeriod = 200 * time.Millisecond
-	// maxReportsPerSecond bounds the datagrams of an instance; larger fleets report less often.
-	maxReportsPerSecond = 200
+	// maxNearReportsPerSecond and maxFarReportsPerSecond bound the datagrams of an instance
+	// to its own zone and to the other zones; larger fleets report less often.
+	maxNearReportsPerSecond = 100
+	maxFarReportsPerSecond  = 40
+	// relaysPerZone is the number of instances of each other zone that receive a report
+	// directly. They pass it on within their zone.
+	relaysPerZone = 3
 	// minReportTimeout is the shortest time without a report after which a peer's load is
 	// no longer counted. The time is longer if reports are less frequent.
 	minReportTimeout = time.Second
@@ -58,8 +65,10 @@
 	LastReportAt time.Time
 	// DiscoveredAt is when this incarnation of the peer was discovered.
 	DiscoveredAt time.Time
-	Leaving      bool
-	Report       *pb.FleetReport
+	// Zone is the peer's availability zone, empty if not known yet.
+	Zone    string
+	Leaving bool
+	Report  *pb.FleetReport
 	// avoidUntil is when the peer may own groups again after a reported failure.
 	avoidUntil time.Time
 }
@@ -85,6 +94,8 @@
 type Fleet struct {
 	settings Settings
 	conn     *net.UDPConn
+	// write sends a datagram to an address.
+	write func(data []byte, address string)
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -93,6 +104,9 @@
 	sequence   uint64
 	leaving    bool
 	seeds      []string
+	schedule   schedule
+	// toRelay holds the reports to pass on within the zone, by instance.
+	toRelay map[string]*pb.RelayedReport
 
 	// announced wakes Run to report a changed table to the instances of the same zone.
 	announced chan struct{}
@@ -111,7 +125,10 @@
 	}
 	f := &Fleet{
 		settings: settings, conn: conn, peers: make(map[string]*Peer), seeds: settings.Seeds, announced: make(chan struct{}, 1),
+		toRelay: make(map[string]*pb.RelayedReport),
 	}
+	f.write = f.writeDatagram
+	f.updateScheduleLocked()
 	for _, t := range settings.Tables {
 		t.SetReads(func() bool { return f.ReadsStore(t.Name(), time.Now()) })
 	}
@@ -123,21 +140,25 @@
 	var group sync.WaitGroup
 	group.Go(f.receive)
 	group.Go(func() { f.syncTables(ctx) })
-	timer := time.NewTimer(reportPeriod)
-	defer timer.Stop()
+	near, far := time.NewTimer(reportPeriod), time.NewTimer(reportPeriod)
+	defer near.Stop()
+	defer far.Stop()
 	for {
+		nearPeriod, farPeriod := f.periods()
 		select {
 		case <-ctx.Done():
 			_ = f.conn.Close() // ends receive
 			group.Wait()
 			return
 		case <-f.announced:
-			f.report(f.isNear)
-			continue
-		case <-timer.C:
+			f.reportNear()
+		case <-near.C:
+			near.Reset(nearPeriod)
+			f.reportNear()
+		case <-far.C:
+			far.Reset(farPeriod)
+			f.reportFar()
 		}
-		timer.Reset(f.period())
-		f.report(everyPeer)
 	}
 }
 
@@ -150,100 +171,27 @@
 	}
 }
 
-// everyPeer selects all peers for a report.
-func everyPeer(*Peer) bool { return true }
-
-// isNear selects the peers of the same availability zone.
-func (f *Fleet) isNear(p *Peer) bool { return p.Report.GetZone() == f.settings.Zone }
-
-func (f *Fleet) period() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.periodLocked()
-}
-
-func (f *Fleet) periodLocked() time.Duration {
-	return max(reportPeriod, time.Duration(len(f.peers))*time.Second/maxReportsPerSecond)
-}
-
-// ownerTimeout is how long a peer may own groups after its last report. Two lost
-// reports in a row do not move its groups.
-func (f *Fleet) ownerTimeout() time.Duration {
-	return time.Duration(reportTimeoutPeriods * float64(f.periodLocked()))
-}
-
 // isCurrent reports whether the peer's last report is recent enough for it to own groups.
 func (f *Fleet) isCurrent(p *Peer, now time.Time) bool {
-	return !p.LastReportAt.IsZero() && now.Sub(p.LastReportAt) <= f.ownerTimeout()
+	return !p.LastReportAt.IsZero() && now.Sub(p.LastReportAt) <= f.ownerTimeout(p)
 }
 
 // isUnresponsive reports whether no report was received within the timeout.
 func (f *Fleet) isUnresponsive(p *Peer, now time.Time) bool {
-	return p.LastReportAt.IsZero() || now.Sub(p.LastReportAt) > max(minReportTimeout, f.ownerTimeout())
+	return p.LastReportAt.IsZero() || now.Sub(p.LastReportAt) > max(minReportTimeout, f.ownerTimeout(p))
 }
 
 // Leave notifies the peers that this instance is shutting down.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
 	f.leaving = true
-	f.mu.Unlock()
-	f.report(everyPeer)
-}
-
-// report sends this instance's report to the selected peers.
-func (f *Fleet) report(selected func(*Peer) bool) {
-	message, addresses := f.newReport(selected)
-	if len(addresses) == 0 {
-		return
-	}
-	f.settings.FillReport(message)
-	data, err := proto.Marshal(message)
-	if err != nil {
-		f.settings.Log.Error("report could not be encoded", zap.Error(err))
-		return
-	}
-	f.recordTraffic(message, len(addresses), len(data), time.Now())
-	for _, address := range addresses {
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			f.settings.Log.Warn("peer address is invalid", zap.String(field.Address, address), zap.Error(err))
-			continue
-		}
-		// A lost report is replaced by the next one.
-		_, _ = f.conn.WriteToUDP(data, to)
-	}
-}
-
-// newReport returns the next report, not yet filled, and the addresses of the selected
-// peers. It removes the peers whose retention has ended.
-func (f *Fleet) newReport(selected func(*Peer) bool) (*pb.FleetReport, []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.sequence++
-	message := &pb.FleetReport{
-		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Sequence: f.sequence,
-		Address: f.settings.Address, Zone: f.settings.Zone, Leaving: f.leaving,
-	}
-	for _, t := range f.settings.Tables {
-		if current := t.Current(); current != nil {
-			message.Tables = append(message.Tables, &pb.TableVersion{
-				Table: t.Name(), Changed: current.Changed, Digest: current.Digest, StoreUnavailable: t.StoreUnavailable(),
-			})
-		}
-	}
-	now := time.Now()
+	message := f.newReportLocked()
 	var addresses []string
-	for name, p := range f.peers {
-		if now.Sub(p.lastSeen()) > peerRetention {
-			delete(f.peers, name)
-			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
-			continue
-		}
-		if selected(p) {
-			addresses = append(addresses, p.Address)
-		}
+	for _, p := range f.peers {
+		addresses = append(addresses, p.Address)
 	}
-	return message, addresses
+	f.mu.Unlock()
+	f.send(message, addresses)
 }
 
 // lastSeen is when the peer sent its last report or, without one, was discovered.
@@ -264,17 +212,66 @@
 		if err != nil {
 			continue // an ICMP error caused by an earlier report to an unreachable peer
 		}
-		message := &pb.FleetReport{}
-		if err := proto.Unmarshal(buffer[:n], message); err != nil || message.GetInstance() == "" {
-			f.settings.Log.Warn("received datagram is not a report", zap.Int(field.Bytes, n), zap.Error(err))
+		f.handle(buffer[:n], time.Now())
+	}
+}
+
+// handle applies a datagram: a report and the reports that its sender passes on.
+func (f *Fleet) handle(data []byte, now time.Time) {
+	message := f.decode(data)
+	if message == nil {
+		return
+	}
+	relayed := message.GetRelayed()
+	message.Relayed = nil
+	if f.accept(message, now) {
+		if message.GetZone() != f.settings.Zone {
+			f.relay(message, data)
+		}
+		f.settings.OnReport(message)
+	}
+	for _, r := range relayed {
+		if f.isKnown(r) {
 			continue
 		}
-		if f.accept(message, time.Now()) {
-			f.settings.OnReport(message)
+		if m := f.decode(r.GetReport()); m != nil && f.accept(m, now) {
+			f.settings.OnReport(m)
 		}
 	}
 }
 
+// decode returns the report, or nil after logging why it is not one.
+func (f *Fleet) decode(data []byte) *pb.FleetReport {
+	message := &pb.FleetReport{}
+	if err := proto.Unmarshal(data, message); err != nil || message.GetInstance() == "" {
+		f.settings.Log.Warn("received datagram is not a report", zap.Int(field.Bytes, len(data)), zap.Error(err))
+		return nil
+	}
+	return message
+}
+
+// relay queues a report of another zone to be passed on within the zone. A newer report
+// replaces one that has not been passed on yet.
+func (f *Fleet) relay(m *pb.FleetReport, data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.toRelay[m.GetInstance()] = &pb.RelayedReport{
+		Instance: m.GetInstance(), Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(), Report: bytes.Clone(data),
+	}
+}
+
+// isKnown reports whether a relayed report has been received already.
+func (f *Fleet) isKnown(r *pb.RelayedReport) bool {
+	if r.GetInstance() == f.settings.Self {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.peers[r.GetInstance()]
+	return ok && (r.GetIncarnation() < p.Incarnation ||
+		r.GetIncarnation() == p.Incarnation && r.GetSequence() <= p.Report.GetSequence())
+}
+
 // accept records a report unless a later one has already been received.
 func (f *Fleet) accept(m *pb.FleetReport, now time.Time) bool {
 	if m.GetInstance() == f.settings.Self {
@@ -294,7 +291,11 @@
 	if !p.LastReportAt.IsZero() && f.isUnresponsive(p, now) {
 		f.settings.Log.Info("peer sends reports again", zap.String(field.Peer, p.Name), zap.Duration(field.SinceLastReport, now.Sub(p.LastReportAt)))
 	}
-	p.Address, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), now, m, m.GetLeaving()
+	moved := p.Zone != m.GetZone()
+	p.Address, p.Zone, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), m.GetZone(), now, m, m.GetLeaving()
+	if !ok || moved {
+		f.updateScheduleLocked()
+	}
 	return true
 }
 
@@ -312,9 +313,10 @@
 			continue
 		}
 		f.peers[m.GetInstance()] = &Peer{
-			Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DiscoveredAt: now,
+			Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Zone: m.GetZone(), DiscoveredAt: now,
 		}
 	}
+	f.updateScheduleLocked()
 }
 
 // SetSeeds replaces the addresses of instances to contact while no peer is known.
@@ -339,10 +341,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	members := []*pb.FleetMember{{
-		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Address: f.settings.Address,
+		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Address: f.settings.Address, Zone: f.settings.Zone,
 	}}
 	for _, p := range f.peers {
-		members = append(members, &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address})
+		members = append(members, &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address, Zone: p.Zone})
 	}
 	return members
 }
@@ -412,7 +414,7 @@
 func (f *Fleet) Owner(key string, preferred func(zone string) bool, now time.Time) (name, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	self := Peer{Name: f.settings.Self, Address: f.settings.Address, Report: &pb.FleetReport{Zone: f.settings.Zone}}
+	self := Peer{Name: f.settings.Self, Address: f.settings.Address, Zone: f.settings.Zone}
 	candidates := []*Peer{}
 	if !f.leaving {
 		candidates = append(candidates, &self)
@@ -426,7 +428,7 @@
 	var highest uint64
 	ownerPreferred := false
 	for _, p := range candidates {
-		score, inPreferred := membership.Score(key, p.Name), preferred(p.Report.GetZone())
+		score, inPreferred := membership.Score(key, p.Name), preferred(p.Zone)
 		if owner == nil || (inPreferred && !ownerPreferred) || (inPreferred == ownerPreferred && score > highest) {
 			owner, highest, ownerPreferred = p, score, inPreferred
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,7 +15,10 @@
 )
 
 func newFleet(t testing.TB) *Fleet {
-	f, err := New(Settings{Self: "self", Zone: "z1", Address: "127.0.0.1:0", Log: zap.NewNop()})
+	f, err := New(Settings{
+		Self: "self", Zone: "z1", Address: "127.0.0.1:0", Log: zap.NewNop(),
+		FillReport: func(*pb.FleetReport) {}, OnReport: func(*pb.FleetReport) {},
+	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.conn.Close() })
 	return f
@@ -58,7 +61,7 @@
 	require.True(t, f.accept(leaving, now))
 	third, _ := f.Owner("k", inZone2, now)
 	require.NotContains(t, []string{owner, second}, third)
-	later := now.Add(failureBackoff + f.ownerTimeout())
+	later := now.Add(failureBackoff + f.schedule.farTimeout)
 	last, _ := f.Owner("k", inZone2, later)
 	require.Equal(t, "self", last, "all peers are unresponsive")
 }
@@ -76,7 +79,7 @@
 	for _, p := range f.peers {
 		p.DiscoveredAt, p.LastReportAt = now.Add(-2*peerRetention), time.Time{}
 	}
-	f.newReport(everyPeer)
+	f.reportNear()
 	require.InDelta(t, 1, f.Share(now), 0)
 }
 
--- /dev/null
+++ b/fleet/report.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/telemetry/field"
+)
+
+// schedule holds the times that depend on the size of the fleet.
+type schedule struct {
+	// nearPeriod and farPeriod are the times between two reports to the peers of the own
+	// zone and to the other zones.
+	nearPeriod, farPeriod time.Duration
+	// nearTimeout and farTimeout are how long a peer of the own or another zone may own
+	// groups after its last report. Two lost reports in a row do not move its groups.
+	nearTimeout, farTimeout time.Duration
+}
+
+// updateScheduleLocked adapts the schedule to the known peers.
+func (f *Fleet) updateScheduleLocked() {
+	near, far := 0, 0
+	zones := make(map[string]int)
+	for _, p := range f.peers {
+		zones[p.Zone]++
+	}
+	for zone, n := range zones {
+		if zone == f.settings.Zone {
+			near = n
+		} else {
+			far += min(n, relaysPerZone)
+		}
+	}
+	s := schedule{
+		nearPeriod: max(reportPeriod, time.Duration(near)*time.Second/maxNearReportsPerSecond),
+		farPeriod:  max(reportPeriod, time.Duration(far)*time.Second/maxFarReportsPerSecond),
+	}
+	s.nearTimeout = time.Duration(reportTimeoutPeriods * float64(s.nearPeriod))
+	s.farTimeout = time.Duration(reportTimeoutPeriods * float64(s.farPeriod))
+	if near >= relaysPerZone {
+		s.farTimeout += s.nearPeriod // reports of other zones may be passed on by a peer
+	}
+	f.schedule = s
+}
+
+// periods returns the times between two reports to the own zone and to the others.
+func (f *Fleet) periods() (near, far time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.schedule.nearPeriod, f.schedule.farPeriod
+}
+
+// ownerTimeout is how long a peer may own groups after its last report.
+func (f *Fleet) ownerTimeout(p *Peer) time.Duration {
+	if p.Zone == f.settings.Zone {
+		return f.schedule.nearTimeout
+	}
+	return f.schedule.farTimeout
+}
+
+// reportNear sends this instance's report and the queued reports of other zones to the
+// peers of the own zone.
+func (f *Fleet) reportNear() {
+	f.mu.Lock()
+	f.removeExpiredLocked(time.Now())
+	message := f.newReportLocked()
+	var addresses []string
+	for _, p := range f.peers {
+		if p.Zone == f.settings.Zone {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	for _, r := range f.toRelay {
+		message.Relayed = append(message.Relayed, r)
+	}
+	clear(f.toRelay)
+	f.mu.Unlock()
+	f.send(message, addresses)
+}
+
+// reportFar sends this instance's report to relaysPerZone instances of each other zone.
+func (f *Fleet) reportFar() {
+	f.mu.Lock()
+	f.removeExpiredLocked(time.Now())
+	message := f.newReportLocked()
+	addresses := f.relaysLocked(time.Now())
+	f.mu.Unlock()
+	f.send(message, addresses)
+}
+
+// relaysLocked selects random instances of each other zone, first those with recent
+// reports.
+func (f *Fleet) relaysLocked(now time.Time) []string {
+	current, other := make(map[string][]string), make(map[string][]string)
+	for _, p := range f.peers {
+		switch {
+		case p.Zone == f.settings.Zone:
+		case f.isCurrent(p, now):
+			current[p.Zone] = append(current[p.Zone], p.Address)
+		default:
+			other[p.Zone] = append(other[p.Zone], p.Address)
+		}
+	}
+	zones := make(map[string]bool)
+	for zone := range current {
+		zones[zone] = true
+	}
+	for zone := range other {
+		zones[zone] = true
+	}
+	var relays []string
+	for zone := range zones {
+		shuffle(current[zone])
+		shuffle(other[zone])
+		candidates := append(current[zone], other[zone]...)
+		relays = append(relays, candidates[:min(relaysPerZone, len(candidates))]...)
+	}
+	return relays
+}
+
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+}
+
+// newReportLocked returns the next report without its load and usage.
+func (f *Fleet) newReportLocked() *pb.FleetReport {
+	f.sequence++
+	message := &pb.FleetReport{
+		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Sequence: f.sequence,
+		Address: f.settings.Address, Zone: f.settings.Zone, Leaving: f.leaving,
+	}
+	for _, t := range f.settings.Tables {
+		if current := t.Current(); current != nil {
+			message.Tables = append(message.Tables, &pb.TableVersion{
+				Table: t.Name(), Changed: current.Changed, Digest: current.Digest, StoreUnavailable: t.StoreUnavailable(),
+			})
+		}
+	}
+	return message
+}
+
+// removeExpiredLocked removes the peers whose retention has ended.
+func (f *Fleet) removeExpiredLocked(now time.Time) {
+	for name, p := range f.peers {
+		if now.Sub(p.lastSeen()) > peerRetention {
+			delete(f.peers, name)
+			f.updateScheduleLocked()
+			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
+		}
+	}
+}
+
+// send fills a report and sends it.
+func (f *Fleet) send(message *pb.FleetReport, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	f.settings.FillReport(message)
+	data, err := proto.Marshal(message)
+	if err != nil {
+		f.settings.Log.Error("report could not be encoded", zap.Error(err))
+		return
+	}
+	f.recordTraffic(message, len(addresses), len(data), time.Now())
+	for _, address := range addresses {
+		f.write(data, address)
+	}
+}
+
+// writeDatagram sends a datagram. A lost report is replaced by the next one.
+func (f *Fleet) writeDatagram(data []byte, address string) {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		f.settings.Log.Warn("peer address is invalid", zap.String(field.Address, address), zap.Error(err))
+		return
+	}
+	_, _ = f.conn.WriteToUDP(data, to)
+}
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -31,7 +31,7 @@
 func (i *Instance) register(ctx context.Context) {
 	settings := i.settings.Load()
 	encoded, err := proto.Marshal(&pb.FleetMember{
-		Instance: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers,
+		Instance: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers, Zone: settings.Zone,
 	})
 	if err != nil {
 		i.log.Error("instance row not encoded", zap.Error(err))
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -94,6 +94,8 @@
 	ReportBytes = "report_bytes"
 	// Loads is the number of targets whose load a report contains.
 	Loads = "loads"
+	// Relayed is the number of reports of other instances that a report contains.
+	Relayed = "relayed"
 	// SinceLastReport is the time since the last report of a peer.
 	SinceLastReport = "silent"
 	// Callers is the address of the listener for callers.
