quota: charge what a peer has spent that has just started

Cause: an instance does not charge the first report of an unknown peer, because the instances that were already running have charged that spending. When all start together, nobody has, and each spends a growing share of the quota before its first report is received; with 87 instances that is twice the quota of a window. Ruled out: the initial share alone, as in the new test the shares start at 1/87.

A peer whose bucket is not settled has just started, so its first report is charged in full. TestReportsCountGrowthOnly now checks the level exactly.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -211,9 +211,10 @@
 }
 
 // ApplyReport charges what a peer has spent since its last report, and adopts its
-// levels for buckets that are not settled. The first report of an unknown peer is not
+// levels for buckets that are not settled. The first report after a restart of a known
+// peer is charged in full, and so is the first report of an unknown peer whose bucket is
+// not settled: it has just started. The first report of any other unknown peer is not
 // charged because the instances that were already running have charged that spending.
-// The first report after a restart of a known peer is charged in full.
 func (l *Ledger) ApplyReport(now time.Time, peer string, incarnation uint64, spent Usage, levels Levels) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -228,11 +229,12 @@
 		if restarted {
 			before = 0
 		}
-		if growth := spent[id] - before; known && growth > 0 {
+		level, settled := levels[id]
+		if growth := spent[id] - before; (known || !settled) && growth > 0 {
 			l.bucket(now, workspace, b.limit)
 			b.level -= growth
 		}
-		if level, ok := levels[id]; ok && !b.settled(now) {
+		if settled && !b.settled(now) {
 			// The peer may not have received this instance's usage yet.
 			b.level, b.updated, b.adopted = level-l.local[id], now, true
 		}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -167,12 +167,14 @@
 	l := NewLedger(Tolerance{})
 	l.AddBucket(start, "w", limit)
 	now := start.Add(1000 * time.Second)
-	l.ApplyReport(now, "p", 5, Usage{WorkspaceID("w"): 100}, nil)
+	l.ApplyReport(now, "p", 5, Usage{WorkspaceID("w"): 100}, Levels{WorkspaceID("w"): 900})
 	l.ApplyReport(now, "p", 5, Usage{WorkspaceID("w"): 300}, nil)
 	l.ApplyReport(now, "p", 4, Usage{WorkspaceID("w"): 9000}, nil)
 	l.ApplyReport(now, "p", 6, Usage{WorkspaceID("w"): 50}, nil)
 	require.True(t, l.Take(now, "w", limit, 750).OK)
-	require.False(t, l.Take(now, "w", limit, 1).OK, "the peer's 200 and 50 and this instance's 750 empty the bucket")
+	empty := l.Take(now, "w", limit, 1)
+	require.False(t, empty.OK)
+	require.Zero(t, empty.Level, "the peer's 200 and 50 and this instance's 750 empty the bucket")
 }
 
 // Guards against refused requests that consume quota.
@@ -200,3 +202,41 @@
 	require.GreaterOrEqual(t, spent, 200)
 	require.True(t, r.Withdraw("other"), "each service has a budget of its own")
 }
+
+// Guards against a fleet that starts together and spends a multiple of the quota before
+// its instances have heard of each other.
+func TestFleetThatStartsTogetherKeepsTheQuota(t *testing.T) {
+	const n, step, period = 87, 10 * time.Millisecond, 400 * time.Millisecond
+	limit := Limit{Rate: 100_000, Burst: 100_000}
+	f := newFleet(n, limit, Tolerance{})
+	for _, l := range f.ledgers {
+		l.SetShare(start, 1.0/n)
+	}
+	heard := make([]int, n)
+	for ; f.now < 10*time.Second; f.now += step {
+		now, total := start.Add(f.now), 0.0
+		for from, l := range f.ledgers {
+			// The reports of an instance arrive once in each period, at times spread over it.
+			if f.now%period == (time.Duration(from)*period/n).Truncate(step) {
+				for to, receiver := range f.ledgers {
+					if to == from {
+						continue
+					}
+					receiver.ApplyReport(now, string(rune('a'+from)), 1, l.LocalUsage(), l.Levels(now))
+					if f.now < period {
+						heard[to]++
+						receiver.SetShare(now, float64(1+heard[to])/n)
+					}
+				}
+			}
+			for range 3 {
+				if l.Take(now, "w", limit, 1000).OK {
+					total += 1000
+				}
+			}
+		}
+		f.spent = append(f.spent, total)
+	}
+	require.LessOrEqual(t, f.maxInWindow(), 1.1*(8*limit.Rate+limit.Burst))
+	require.Greater(t, f.maxInWindow(), 0.5*8*limit.Rate, "the quota must be usable")
+}
