fleet: the instance with most processor time owns a group

Reports carry the processor time, and the instances with most of it are preferred as owners and as readers of the store; equal ones are chosen by their scores as before.

TestOwnerHasMostProcessorTime fails before (owners of all sizes).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,8 +81,10 @@
 	// Address is the address of the listeners for datagrams and for tables.
 	Address string
 	// Seeds are addresses of instances to contact while no peer is known.
-	Seeds  []string
-	Tables []*mirror.Table
+	Seeds []string
+	// MilliCores is this instance's processor time in thousandths of a core, 0 if unknown.
+	MilliCores uint32
+	Tables     []*mirror.Table
 	// FillReport fills this instance's report.
 	FillReport func(*pb.FleetReport)
 	// OnReport is called with each new report.
@@ -409,32 +411,47 @@
 	}
 }
 
-// Owner selects the owner of a key by rendezvous hashing over the reachable instances in
-// preferred zones, or over all reachable instances if none is in a preferred zone.
+// Owner selects the owner of a key over the reachable instances, or over those in
+// preferred zones if there are any: of the instances with most processor time, the one
+// that rendezvous hashing selects.
 func (f *Fleet) Owner(key string, preferred func(zone string) bool, now time.Time) (name, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	self := Peer{Name: f.settings.Self, Address: f.settings.Address, Zone: f.settings.Zone}
-	candidates := []*Peer{}
-	if !f.leaving {
-		candidates = append(candidates, &self)
+	rankOf := func(p *Peer) rank {
+		return rank{preferred: preferred(p.Zone), milliCores: p.Report.GetMilliCores(), score: membership.Score(key, p.Name)}
+	}
+	owner := &Peer{
+		Name: f.settings.Self, Address: f.settings.Address, Zone: f.settings.Zone,
+		Report: &pb.FleetReport{MilliCores: f.settings.MilliCores},
+	}
+	highest := rankOf(owner)
+	if f.leaving {
+		highest = rank{}
 	}
 	for _, p := range f.peers {
-		if !p.Leaving && f.isCurrent(p, now) && now.After(p.avoidUntil) {
-			candidates = append(candidates, p)
+		if p.Leaving || !f.isCurrent(p, now) || !now.After(p.avoidUntil) {
+			continue
 		}
-	}
-	var owner *Peer
-	var highest uint64
-	ownerPreferred := false
-	for _, p := range candidates {
-		score, inPreferred := membership.Score(key, p.Name), preferred(p.Zone)
-		if owner == nil || (inPreferred && !ownerPreferred) || (inPreferred == ownerPreferred && score > highest) {
-			owner, highest, ownerPreferred = p, score, inPreferred
+		if r := rankOf(p); r.above(highest) {
+			owner, highest = p, r
 		}
 	}
-	if owner == nil {
-		return f.settings.Self, f.settings.Address
-	}
 	return owner.Name, owner.Address
 }
+
+// rank orders the candidates for a duty.
+type rank struct {
+	preferred  bool
+	milliCores uint32
+	score      uint64
+}
+
+func (r rank) above(other rank) bool {
+	switch {
+	case r.preferred != other.preferred:
+		return r.preferred
+	case r.milliCores != other.milliCores:
+		return r.milliCores > other.milliCores
+	}
+	return r.score > other.score
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -66,6 +66,31 @@
 	require.Equal(t, "self", last, "all peers are unresponsive")
 }
 
+// Guards against a broker on a small instance, which delays the requests of all others.
+func TestOwnerHasMostProcessorTime(t *testing.T) {
+	f, now := newFleet(t), time.Now()
+	f.settings.MilliCores = 192
+	anyZone := func(string) bool { return true }
+	for k, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		m := report(name, 1, 1, "z1")
+		m.MilliCores = 192
+		if k < 2 {
+			m.MilliCores = 800
+		}
+		require.True(t, f.accept(m, now))
+	}
+	owners := make(map[string]bool)
+	for k := range 50 {
+		owner, _ := f.Owner(fmt.Sprint("key-", k), anyZone, now)
+		owners[owner] = true
+	}
+	require.Equal(t, map[string]bool{"a": true, "b": true}, owners)
+	f.ReportFailure("a")
+	f.ReportFailure("b")
+	owner, _ := f.Owner("key", anyZone, now)
+	require.NotContains(t, []string{"a", "b"}, owner)
+}
+
 // Guards against the two sides of a partition each using the whole limits, and against
 // reserving a share for instances that stopped long ago.
 func TestShare(t *testing.T) {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -133,6 +133,7 @@
 	message := &pb.FleetReport{
 		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Sequence: f.sequence,
 		Address: f.settings.Address, Zone: f.settings.Zone, Leaving: f.leaving,
+		MilliCores: f.settings.MilliCores,
 	}
 	for _, t := range f.settings.Tables {
 		if current := t.Current(); current != nil {
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -83,25 +83,25 @@
 }
 
 // ReadsStore reports whether this instance reads a table from the store: it is among
-// the readersPerZone instances of its availability zone with the highest scores, not
-// counting those without a recent report and those to which the store does not respond.
+// the readersPerZone instances of its availability zone that rank highest, not counting
+// those without a recent report and those to which the store does not respond.
 func (f *Fleet) ReadsStore(table string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	own := readerScore(f.settings.Self)
+	own := readerRank(f.settings.Self, f.settings.MilliCores)
 	before := 0
 	for _, p := range f.peers {
-		if p.Leaving || !f.isCurrent(p, now) || p.Report.GetZone() != f.settings.Zone || readerScore(p.Name) < own {
-			continue
-		}
-		if canRead(p.Report, table) {
+		if p.Zone == f.settings.Zone && !p.Leaving && f.isCurrent(p, now) &&
+			readerRank(p.Name, p.Report.GetMilliCores()).above(own) && canRead(p.Report, table) {
 			before++
 		}
 	}
 	return before < readersPerZone
 }
 
-func readerScore(instance string) uint64 { return membership.Score("store reader", instance) }
+func readerRank(instance string, milliCores uint32) rank {
+	return rank{milliCores: milliCores, score: membership.Score("store reader", instance)}
+}
 
 // canRead reports whether the sender has a copy of the table and the store responds to it.
 func canRead(report *pb.FleetReport, table string) bool {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -119,7 +119,7 @@
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
-		Tables: []*mirror.Table{i.operator, i.registry}, FillReport: i.fillReport, OnReport: i.applyReport, Log: log,
+		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry}, FillReport: i.fillReport, OnReport: i.applyReport, Log: log,
 	})
 	if err != nil {
 		return nil, err
