rollout: fall back to the old version after the shift

Requests were refused with 503 while the targets of the old version still ran, if those of the new version stopped or were ejected after the shift: the canary phase had a fallback, the shifted phase had none.

Until the order ends, a request that the new version's targets cannot take within a quarter of its objective goes to the old version, and a phase read late from the store does not undo a shift.

TestShiftedRequestsFallBackToTheOldVersion fails before (503).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -75,14 +75,14 @@
 	}
 	began := time.Now()
 	service := req.service.Name
-	// During the canary phase of a rollout some requests are sent to the new version,
-	// and stable is the version of the others and of retries.
-	version, stable := g.settings.Rollouts.Choose(service, req.sends > 0), g.settings.Rollouts.Choose(service, true)
-	s, err := g.place(ctx, req, version, canaryDeadline(req, version != stable, deadline))
+	// During a rollout some or all requests are sent to the new version.
+	version := g.settings.Rollouts.Choose(service, req.sends > 0)
+	fallback := g.settings.Rollouts.Fallback(service, version)
+	s, err := g.place(ctx, req, version, newVersionDeadline(req, version != fallback, deadline))
 	var refused *RefusedError
-	if errors.As(err, &refused) && version != stable {
-		// The new version has few targets, and all of them may be unusable.
-		s, err = g.place(ctx, req, stable, deadline)
+	if errors.As(err, &refused) && version != fallback {
+		// The new version may have few targets, and all of them may be unusable.
+		s, err = g.place(ctx, req, fallback, deadline)
 	}
 	req.queued += time.Since(began)
 	switch {
@@ -100,16 +100,16 @@
 	}
 }
 
-// canaryWaitFraction is the fraction of the objective for which a request waits for a
-// target of the new version before it falls back to the stable one.
-const canaryWaitFraction = 0.25
+// newVersionWaitFraction is the fraction of the objective for which a request waits for a
+// target of the new version before it falls back to the old one.
+const newVersionWaitFraction = 0.25
 
-// canaryDeadline shortens the wait for a target of the new version.
-func canaryDeadline(req *request, canary bool, deadline time.Time) time.Time {
-	if !canary {
+// newVersionDeadline shortens the wait for a target of the new version.
+func newVersionDeadline(req *request, hasFallback bool, deadline time.Time) time.Time {
+	if !hasFallback {
 		return deadline
 	}
-	return req.arrived.Add(time.Duration(canaryWaitFraction * float64(req.objective())))
+	return req.arrived.Add(time.Duration(newVersionWaitFraction * float64(req.objective())))
 }
 
 // place waits for a slot on a target of the version.
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -93,3 +93,22 @@
 		})
 	}
 }
+
+// Guards against refusing requests while the targets of the old version still run, because
+// those of the new version stopped after all requests were shifted to it.
+func TestShiftedRequestsFallBackToTheOldVersion(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.worker("w-old", worker.Always(worker.Serve))
+	stopped, err := worker.Start("w-new", worker.Always(worker.Serve))
+	require.NoError(t, err)
+	stopped.Close()
+	env.registerVersion(stopped, "ready", "v2")
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	n.tracker.SetOrders([]rollout.Order{{Service: "app", To: "v2", Duration: time.Hour, ID: 7}})
+	n.tracker.SetPhase("app", 7, rollout.Shifted)
+	for startedAt := time.Now(); time.Since(startedAt) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+		require.Equal(t, http.StatusOK, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+	}
+}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -72,7 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
-	if !ok || m.order.ID != id || m.phase.Ended() {
+	if !ok || m.order.ID != id || m.phase.Ended() || (m.phase == Shifted && phase == Canary) {
 		return
 	}
 	if phase == Shifted && m.phase != Shifted {
@@ -121,6 +121,22 @@
 	return from
 }
 
+// Fallback returns the version for a request that the targets of the chosen version
+// cannot take, or the chosen version if there is no other. While a move is in progress,
+// the targets of the old version still run.
+func (t *Tracker) Fallback(service, chosen string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.moves[service]
+	if !ok || m.phase.Ended() || chosen != m.order.To {
+		return chosen
+	}
+	if from := mainVersion(t.readySlots(service), m.order.To); from != "" {
+		return from
+	}
+	return chosen
+}
+
 // share returns the new version's share of new requests.
 func (m *move) share(now time.Time) float64 {
 	switch {
