--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,7 +1,8 @@
-// Package fleet connects the instances that serve one platform. Each instance sends
-// the others datagrams with its load on the targets and its quota usage. It also
-// serves its copies of the store's tables, so that an instance without access to the
-// store still receives changes.
+// Package fleet connects the instances that serve one platform. Each instance reports its
+// load on the targets and its quota usage in datagrams to the instances of its
+// availability zone and to a few of each other zone, which pass them on within theirs. It
+// also serves its copies of the store's tables, so that only some instances read the
+// store and an instance without access to it still receives changes.
 package fleet
 
 import (
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,38 +94,32 @@
 	f.send(message, addresses)
 }
 
-// relaysLocked selects random instances of each other zone, first those with recent
-// reports.
+// relaysLocked returns the addresses of random instances of each other zone, first of
+// those with recent reports.
 func (f *Fleet) relaysLocked(now time.Time) []string {
-	current, other := make(map[string][]string), make(map[string][]string)
+	byZone := make(map[string][]*Peer)
 	for _, p := range f.peers {
-		switch {
-		case p.Zone == f.settings.Zone:
-		case f.isCurrent(p, now):
-			current[p.Zone] = append(current[p.Zone], p.Address)
-		default:
-			other[p.Zone] = append(other[p.Zone], p.Address)
+		if p.Zone != f.settings.Zone {
+			byZone[p.Zone] = append(byZone[p.Zone], p)
 		}
 	}
-	zones := make(map[string]bool)
-	for zone := range current {
-		zones[zone] = true
-	}
-	for zone := range other {
-		zones[zone] = true
-	}
-	var relays []string
-	for zone := range zones {
-		shuffle(current[zone])
-		shuffle(other[zone])
-		candidates := append(current[zone], other[zone]...)
-		relays = append(relays, candidates[:min(relaysPerZone, len(candidates))]...)
+	var addresses []string
+	for _, peers := range byZone {
+		rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+		slices.SortStableFunc(peers, func(a, b *Peer) int {
+			switch {
+			case f.isCurrent(a, now) == f.isCurrent(b, now):
+				return 0
+			case f.isCurrent(a, now):
+				return -1
+			}
+			return 1
+		})
+		for _, p := range peers[:min(relaysPerZone, len(peers))] {
+			addresses = append(addresses, p.Address)
+		}
 	}
-	return relays
-}
-
-func shuffle(addresses []string) {
-	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses
 }
 
 // newReportLocked returns the next report without its load and usage.
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -64,24 +64,33 @@
 	if f.ReadsStore(t.Name(), now) && now.Sub(behindSince[t.Name()]) < feedDelay {
 		return
 	}
-	after := t.Version()
-	c, members, err := fetch(ctx, client, address, t.Name(), after)
-	if err == nil && c.Version > 0 {
-		_, err = t.ApplyFromPeer(c)
-	}
-	if errors.Is(err, mirror.ErrIncompleteCopy) && after > 0 {
-		if c, members, err = fetch(ctx, client, address, t.Name(), 0); err == nil {
-			_, err = t.ApplyFromPeer(c)
-		}
+	err := f.copyTable(ctx, client, address, t, t.Version())
+	if errors.Is(err, mirror.ErrIncompleteCopy) {
+		err = f.copyTable(ctx, client, address, t, 0)
 	}
 	if err != nil {
 		f.settings.Log.Info("table could not be fetched from a peer", zap.String(field.Table, t.Name()), zap.String(field.Address, address), zap.Error(err))
 		return
 	}
-	f.AddMembers(members)
 	delete(behindSince, t.Name())
 }
 
+// copyTable applies a peer's copy of a table, or its difference from the version after.
+func (f *Fleet) copyTable(ctx context.Context, client *http.Client, address string, t *mirror.Table, after int64) error {
+	c, members, err := fetch(ctx, client, address, t.Name(), after)
+	if err != nil {
+		return err
+	}
+	if len(members) > 0 {
+		f.AddMembers(members)
+	}
+	if c.Version == 0 {
+		return nil // the peer has no copy yet
+	}
+	_, err = t.ApplyFromPeer(c)
+	return err
+}
+
 // ReadsStore reports whether this instance reads a table from the store: it is among
 // the readersPerZone instances of its availability zone that rank highest, not counting
 // those without a recent report and those to which the store does not respond.
