--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -217,7 +217,7 @@
 		now, total := start.Add(f.now), 0.0
 		for from, l := range f.ledgers {
 			// The reports of an instance arrive once in each period, at times spread over it.
-			if f.now%period == (time.Duration(from)*period/n).Truncate(step) {
+			if f.now%period == (time.Duration(from) * period / n).Truncate(step) {
 				for to, receiver := range f.ledgers {
 					if to == from {
 						continue
