fleet, rollout: compute the schedule once, name the condition of a comparison

Found when the change was read once more; no change of behaviour. The schedule was computed for each peer that was removed, and the condition on a route's response times stood twice in compareTimes. Tests of fleet and rollout and the linter pass.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -142,13 +142,16 @@
 
 // removeExpiredLocked removes the peers whose retention has ended.
 func (f *Fleet) removeExpiredLocked(now time.Time) {
+	before := len(f.peers)
 	for name, p := range f.peers {
 		if now.Sub(p.lastSeen()) > peerRetention {
 			delete(f.peers, name)
-			f.updateScheduleLocked()
 			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
 		}
 	}
+	if len(f.peers) < before {
+		f.updateScheduleLocked()
+	}
 }
 
 // send fills a report and sends it.
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -51,12 +51,17 @@
 // to the old version's, with its standard error. Without evidence, the error is infinite.
 type slowdown struct{ log, standardError float64 }
 
+// hasTimes reports whether the route has enough response times of both versions.
+func (e *Evidence) hasTimes() bool {
+	return e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes
+}
+
 // compareTimes combines the routes on which both versions have response times, each
 // weighted by its precision.
 func compareTimes(routes map[uint32]*Evidence) slowdown {
 	deviations, degrees := 0.0, 0.0
 	for _, e := range routes {
-		if e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes {
+		if e.hasTimes() {
 			deviations += e.FromTimes.squaredDeviations() + e.ToTimes.squaredDeviations()
 			degrees += e.FromTimes.count + e.ToTimes.count - 2
 		}
@@ -67,7 +72,7 @@
 	variance := max(minLogVariance, deviations/degrees)
 	weights, sum := 0.0, 0.0
 	for _, e := range routes {
-		if e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes {
+		if e.hasTimes() {
 			weight := 1 / (variance * (1/e.FromTimes.count + 1/e.ToTimes.count))
 			weights += weight
 			sum += weight * (e.ToTimes.mean() - e.FromTimes.mean())
