mirror: log the time since the store's last response; internal/standin/link: silent connections

The line 'store does not respond' did not say how long the store had been silent before a call failed, which distinguishes a silent connection from a store that refuses at once.

Link.Silence makes existing connections go silent while new ones work, for the tests of the incident.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -85,6 +85,7 @@
 	mu        sync.Mutex
 	mode      CutMode       // empty when the link is up
 	restored  chan struct{} // closed while the link is up or resetting
+	silenced  chan struct{} // closed when the connections made so far go silent
 	listeners []net.Listener
 	conns     map[net.Conn]struct{}
 }
@@ -97,6 +98,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		restored: make(chan struct{}),
+		silenced: make(chan struct{}),
 		conns:    make(map[net.Conn]struct{}),
 	}
 	close(l.restored)
@@ -154,6 +156,15 @@
 	l.mode = ""
 }
 
+// Silence makes all existing connections go silent for good: they stay open and deliver
+// nothing more. New connections work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.silenced)
+	l.silenced = make(chan struct{})
+}
+
 // Stats returns the traffic counts.
 func (l *Link) Stats() Stats {
 	return Stats{
@@ -257,20 +268,33 @@
 		return
 	}
 	defer l.unregister(upstream)
+	l.mu.Lock()
+	silenced := l.silenced
+	l.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { l.forwardOneWay(direction, client, upstream) })
-	both.Go(func() { l.forwardOneWay(direction.opposite(), upstream, client) })
+	both.Go(func() { l.forwardOneWay(direction, client, upstream, silenced) })
+	both.Go(func() { l.forwardOneWay(direction.opposite(), upstream, client, silenced) })
 	both.Wait()
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // chunk is data in flight over the link.
 type chunk struct {
 	due  time.Time
 	data []byte
 }
 
-// forwardOneWay forwards one direction of a connection until it ends.
-func (l *Link) forwardOneWay(direction Direction, from, to net.Conn) {
+// forwardOneWay forwards one direction of a connection until it ends. Once the
+// connection is silenced it forwards neither data nor the end.
+func (l *Link) forwardOneWay(direction Direction, from, to net.Conn, silenced <-chan struct{}) {
 	chunks := make(chan chunk, maxQueuedChunks)
 	writerDone := make(chan struct{})
 	var readErr error // set before the channel chunks is closed
@@ -278,8 +302,10 @@
 		defer close(chunks)
 		readErr = l.read(direction, from, chunks, writerDone)
 	}()
-	broken := l.write(direction, to, chunks)
-	if !broken {
+	broken := l.write(direction, to, chunks, silenced)
+	if isClosed(silenced) {
+		broken = false
+	} else if !broken {
 		broken = !l.forwardEOF(to, readErr)
 	}
 	close(writerDone)
@@ -315,11 +341,14 @@
 
 // write delivers each chunk when it is due. broken is set if the connection must be
 // reset.
-func (l *Link) write(direction Direction, to net.Conn, chunks <-chan chunk) (broken bool) {
+func (l *Link) write(direction Direction, to net.Conn, chunks <-chan chunk, silenced <-chan struct{}) (broken bool) {
 	for next := range chunks {
 		if !l.waitForDelivery(next.due) {
 			return true
 		}
+		if isClosed(silenced) {
+			continue
+		}
 		l.bytes[direction].Add(int64(len(next.data)))
 		if _, err := to.Write(next.data); err != nil {
 			return true
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -214,3 +215,21 @@
 	_, err = conn.Read(make([]byte, 1))
 	require.ErrorContains(t, err, "reset")
 }
+
+// Guards against a silenced connection that is closed or delivers data, and against new
+// connections that do not work.
+func TestSilenceAffectsExistingConnectionsOnly(t *testing.T) {
+	l, address := start(t, Settings{})
+	silent := dial(t, address)
+	_, err := silent.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(silent, make([]byte, 1))
+	require.NoError(t, err)
+	l.Silence()
+	_, err = silent.Write([]byte("lost"))
+	require.NoError(t, err)
+	require.NoError(t, silent.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Equal(t, "new", string(exchange(t, dial(t, address), []byte("new"))))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -374,11 +374,19 @@
 		t.log.Info("store responds again", zap.Duration(field.StoreOutage, now.Sub(t.outageSince)))
 		t.outageSince, t.recoveredAt = time.Time{}, now
 	case err != nil && t.outageSince.IsZero():
-		t.log.Warn("store does not respond", zap.Error(err))
+		t.log.Warn("store does not respond", zap.Duration(field.SinceLastResponse, t.sinceResponseLocked(now)), zap.Error(err))
 		t.outageSince = now
 	}
 }
 
+// sinceResponseLocked returns the time since the store's last response, 0 before the first.
+func (t *Table) sinceResponseLocked(now time.Time) time.Duration {
+	if t.respondedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.respondedAt)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -112,6 +112,8 @@
 	Store = "store"
 	// StoreOutage is the time without a response from the store.
 	StoreOutage = "away"
+	// SinceLastResponse is the time since the store's last response when a call failed.
+	SinceLastResponse = "since_response"
 	// Table is the name of a table of the store.
 	Table = "table"
 	// Rows is the number of rows of a table.
