mirror, platform: replace silent connections to the store within 4 s

What callers saw: requests served by a configuration that had been replaced more than 2.5 s before (CONFIG), and 401 and 404 for keys and routes that had been added (DENIED), for up to 5.5 s after open connections went silent.

Cause: nothing detects a silent connection to the store before a call on it fails, and a feed call failed after 5.7 s (5 s wait, 0.7 s timeout). All readers were connected when the connections went silent, so no peer had a newer copy either. The next call could take another silent connection from the client's pool and wait for as long again.

Change: a feed call waits 2 s, so a silent connection is replaced within 2.8 s; the users count an instance as undisturbed again after 4 s. TCP keep-alives were not used: they do not show a store that accepts calls and does not respond.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -48,10 +48,10 @@
 
 // Times of a table's loop.
 const (
-	// watchWait is how long one call of the feed waits. It is long because each call
-	// is charged. An unresponsive connection is detected when this wait ends, or earlier
-	// through a peer's newer version.
-	watchWait = 5 * time.Second
+	// watchWait is how long one call of the feed waits. Each call is charged, but a silent
+	// connection is only detected when the call fails: the wait, the timeout of the call
+	// and a retry must end within the 4 s after which changes must be in time again.
+	watchWait = 2 * time.Second
 	// minRetry and maxRetry bound the wait after a failed call. The upper bound leaves
 	// one second of the 2.5 s within which a change must take effect.
 	minRetry = 50 * time.Millisecond
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,16 +1,18 @@
 package mirror_test
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
-	"context"
-
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/basilloom/basilloom/internal/standin/link"
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/platform"
@@ -40,6 +42,49 @@
 	return store, server, table
 }
 
+// contactTime is the time after a fault of its connections within which an instance must
+// apply changes in time again.
+const contactTime = 4 * time.Second
+
+// Guards against a table that is not updated while it waits on connections to the store
+// that went silent, those that lie idle in the client's pool included.
+func TestSilentConnectionsToTheStoreAreReplaced(t *testing.T) {
+	t.Parallel()
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	network := link.New(link.Settings{})
+	t.Cleanup(network.Close)
+	address, err := network.Forward(link.AToB, "127.0.0.1:0", server.Listener.Addr().String())
+	require.NoError(t, err)
+	client := platform.NewStore(address)
+	table := mirror.NewTable("op", client, zap.NewNop())
+	store.Put("op", "config", []byte("first"))
+	// Three calls at once leave three idle connections.
+	var calls sync.WaitGroup
+	for range 3 {
+		calls.Go(func() { _, err := client.Watch(t.Context(), "op", 1, 200*time.Millisecond); assert.NoError(t, err) })
+	}
+	calls.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		table.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	require.Eventually(t, func() bool { return value(table, "config") == "first" }, applyTime, 5*time.Millisecond)
+	store.Put("op", "config", []byte("second"))
+	require.Eventually(t, func() bool { return value(table, "config") == "second" }, applyTime, 5*time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // the next call of the feed begins
+	network.Silence()
+	store.Put("op", "config", []byte("third"))
+	require.Eventually(t, func() bool { return value(table, "config") == "third" }, contactTime, 5*time.Millisecond)
+}
+
 func value(table *mirror.Table, key string) string {
 	current := table.Current()
 	if current == nil {
