fleet: replace a silent connection to a peer

A fetch that ends at its timeout leaves its HTTP/2 connection in use, and the next fetch 150 ms later takes it again, so it was never idle for the second after which it would be closed. A follower whose connections went silent fetched nothing from that peer for as long as it tried.

Closing the idle connections after a failed fetch did not help: the stream of the failed call is removed from its connection later.

Change: a failed fetch is followed by a new client; the old connection closes when it is idle. TestSilentConnectionsToPeersAreReplaced failed before (not updated within 2.5 s).

--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		f.settings.Log.Info("table could not be fetched from a peer", zap.String(field.Table, t.Name()), zap.String(field.Address, address), zap.Error(err))
 		s.avoidUntil[address] = time.Now().Add(fetchFailureBackoff)
+		// The connection may be silent; the client would go on using it. It is closed when it
+		// has been idle for idleConnTimeout.
+		s.client = newClient()
 		return
 	}
 	delete(s.behindSince, t.Name())
--- a/fleet/sync_test.go
+++ b/fleet/sync_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/internal/standin/link"
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/platform"
@@ -130,3 +131,32 @@
 		}
 	}
 }
+
+// Guards against an instance that goes on using a silent connection to a peer.
+func TestSilentConnectionsToPeersAreReplaced(t *testing.T) {
+	t.Parallel()
+	p := startTablePeer(t)
+	network := link.New(link.Settings{})
+	t.Cleanup(network.Close)
+	address, err := network.Forward(link.AToB, "127.0.0.1:0", p.server.Listener.Addr().String())
+	require.NoError(t, err)
+	f, table := follower(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.syncTables(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	p.change(t, f, address)
+	require.Eventually(t, func() bool { return table.Version() == p.table.Version() }, applyTime, time.Millisecond)
+	network.Silence()
+	p.change(t, f, address)
+	require.Eventually(t, func() bool {
+		p.report(f, address)
+		return table.Version() == p.table.Version()
+	}, applyTime, 50*time.Millisecond)
+}
