peer: open ticket streams on a new connection after their owner failed

All streams to an instance share one HTTP/2 connection. When it goes silent, the link reports the owner after 0.2 s and closes the stream, and the next stream is opened on the same connection, so the shared broker stayed unresponsive for up to 17 s (ping interval and timeout); requests waited 250 ms for it again and again and were then placed locally.

Change: Pool.Renew drops the client of an address, so the next call connects again; both programs call it for an owner that failed. Each address has its own transport. The ping interval stays: pings of idle connections would cost more than the control traffic allows.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -190,7 +190,7 @@
 		reported := make(chan string, 16)
 		c := NewClient(ctx, ClientSettings{
 			Self: "entry", Incarnation: 1, Resolver: f, Opener: f, Log: zap.NewNop(),
-			OnOwnerFailure: func(instance string) { reported <- instance },
+			OnOwnerFailure: func(owner Peer) { reported <- owner.Name },
 		})
 		first, _ := submit(c, time.Minute), submit(c, time.Minute)
 		_, err := first.Wait(ctx)
--- a/broker/client.go
+++ b/broker/client.go
@@ -53,7 +53,7 @@
 	// names if they are set.
 	OwnerTimeout, ResponseTimeout, OwnerCheckInterval time.Duration
 	// OnOwnerFailure is called for an owner that broke a stream or does not respond; may be nil.
-	OnOwnerFailure func(instance string)
+	OnOwnerFailure func(owner Peer)
 	// OnOwnerRedirect is called with the owner that an instance names when it does not
 	// own the group itself; may be nil.
 	OnOwnerRedirect func(instance string)
--- a/broker/link.go
+++ b/broker/link.go
@@ -49,7 +49,7 @@
 
 type received struct {
 	stream   Stream
-	owner    string
+	owner    Peer
 	response *pb.TicketsResponse
 	err      error
 }
@@ -149,7 +149,7 @@
 	l.stream, l.peer = stream, owner
 	l.lastResponse, l.probedAt = time.Now(), time.Time{}
 	delete(l.staleUntil, owner.Name)
-	go l.receive(ctx, stream, owner.Name)
+	go l.receive(ctx, stream, owner)
 	l.out = l.resend()
 	l.out.Hello = hello
 }
@@ -183,7 +183,7 @@
 // receive passes on responses until the stream ends. It stops after a NotBroker
 // response, because both sides then close the stream and the resulting error is not
 // a failure.
-func (l *link) receive(ctx context.Context, stream Stream, owner string) {
+func (l *link) receive(ctx context.Context, stream Stream, owner Peer) {
 	for {
 		response, err := stream.Receive()
 		select {
@@ -356,7 +356,7 @@
 	case l.probedAt.IsZero() && now.Sub(l.lastResponse) >= l.client.settings.OwnerTimeout:
 		l.probe, l.probedAt = true, now
 	case !l.probedAt.IsZero() && now.Sub(l.probedAt) >= l.client.settings.ResponseTimeout:
-		l.reportFailure(l.peer.Name)
+		l.reportFailure(l.peer)
 		l.probe, l.probedAt = true, now
 	}
 }
@@ -379,9 +379,9 @@
 	return false
 }
 
-func (l *link) reportFailure(instance string) {
-	if report := l.client.settings.OnOwnerFailure; report != nil && instance != l.client.settings.Self {
-		report(instance)
+func (l *link) reportFailure(owner Peer) {
+	if report := l.client.settings.OnOwnerFailure; report != nil && owner.Name != l.client.settings.Self {
+		report(owner)
 	}
 }
 
--- a/broker/rejoin_test.go
+++ b/broker/rejoin_test.go
@@ -94,7 +94,7 @@
 		reported, named := make(chan string, 64), make(chan string, 64)
 		c := NewClient(ctx, ClientSettings{
 			Self: "entry", Incarnation: 1, Resolver: newFakeFleet(ctx, "a"), Opener: redirectingOpener{}, Log: zap.NewNop(),
-			OnOwnerFailure:  func(instance string) { reported <- instance },
+			OnOwnerFailure:  func(owner Peer) { reported <- owner.Name },
 			OnOwnerRedirect: func(instance string) { named <- instance },
 		})
 		submit(c, time.Second)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,14 +213,17 @@
 	}
 	d.brokers = broker.NewManager(d.runCtx, d.self.Name, d.groups, d.groups, d.groups, hooks, d.log)
 	d.tickets = broker.NewClient(d.runCtx, broker.ClientSettings{
-		Self:           d.self.Name,
-		Incarnation:    d.self.Incarnation,
-		Region:         d.self.Region,
-		Resolver:       d.groups,
-		Opener:         broker.ConnectOpener(d.peers.Client),
-		Local:          d.brokers,
-		OnOwnerFailure: d.members.ReportFailure,
-		Log:            d.log,
+		Self:        d.self.Name,
+		Incarnation: d.self.Incarnation,
+		Region:      d.self.Region,
+		Resolver:    d.groups,
+		Opener:      broker.ConnectOpener(d.peers.Client),
+		Local:       d.brokers,
+		OnOwnerFailure: func(owner broker.Peer) {
+			d.members.ReportFailure(owner.Name)
+			d.peers.Renew(owner.Address)
+		},
+		Log: d.log,
 	})
 }
 
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -93,7 +93,11 @@
 	}
 	i.placer.Local = broker.NewClient(i.runCtx, client)
 	client.Resolver, client.Opener, client.Local = fleetResolver{i}, broker.ConnectOpener(i.peers.Client), i.shared
-	client.OnOwnerFailure, client.OnOwnerRedirect = i.fleet.ReportFailure, i.fleet.ClearFailure
+	client.OnOwnerFailure = func(owner broker.Peer) {
+		i.fleet.ReportFailure(owner.Name)
+		i.peers.Renew(owner.Address)
+	}
+	client.OnOwnerRedirect = i.fleet.ClearFailure
 	i.placer.Shared = broker.NewClient(i.runCtx, client)
 	mux := http.NewServeMux()
 	mux.Handle("/"+basilloomv1connect.PeerServiceName+"/", peer.Handler(key, ticketService{brokers: i.shared}))
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -75,16 +75,17 @@
 
 // Pool caches one client per address. It is safe for concurrent use.
 type Pool struct {
-	transport *http.Transport
-	options   []connect.ClientOption
+	dialer  *net.Dialer
+	options []connect.ClientOption
 
 	mu      sync.Mutex
 	clients map[string]pooledClient
 }
 
 type pooledClient struct {
-	client basilloomv1connect.PeerServiceClient
-	used   time.Time
+	client    basilloomv1connect.PeerServiceClient
+	transport *http.Transport
+	used      time.Time
 }
 
 // NewPool returns a pool with its own transport. The interceptors, for instance those
@@ -100,16 +101,8 @@
 	if source.IsValid() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 	}
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
 	return &Pool{
-		transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			Protocols:          protocols,
-			IdleConnTimeout:    IdleTimeout,
-			DisableCompression: true,
-			HTTP2:              &http.HTTP2Config{SendPingTimeout: PingInterval, PingTimeout: PingTimeout},
-		},
+		dialer: dialer,
 		options: []connect.ClientOption{
 			connect.WithReadMaxBytes(MaxMessageBytes),
 			connect.WithSendMaxBytes(MaxMessageBytes),
@@ -119,6 +112,18 @@
 	}
 }
 
+func (p *Pool) newTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:        p.dialer.DialContext,
+		Protocols:          protocols,
+		IdleConnTimeout:    IdleTimeout,
+		DisableCompression: true,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: PingInterval, PingTimeout: PingTimeout},
+	}
+}
+
 // Client returns the client for address, a numeric IP address with a port.
 func (p *Pool) Client(address string) basilloomv1connect.PeerServiceClient {
 	now := time.Now()
@@ -127,7 +132,8 @@
 	cached, ok := p.clients[address]
 	if !ok {
 		p.dropUnused(now)
-		cached.client = basilloomv1connect.NewPeerServiceClient(roundTripClient{p.transport}, "http://"+address, p.options...)
+		cached.transport = p.newTransport()
+		cached.client = basilloomv1connect.NewPeerServiceClient(roundTripClient{cached.transport}, "http://"+address, p.options...)
 	}
 	cached.used = now
 	p.clients[address] = cached
@@ -139,11 +145,23 @@
 func (p *Pool) dropUnused(now time.Time) {
 	for address, cached := range p.clients {
 		if now.Sub(cached.used) > 10*IdleTimeout {
+			cached.transport.CloseIdleConnections()
 			delete(p.clients, address)
 		}
 	}
 }
 
+// Renew makes further calls to address use a new connection. The current one may be
+// silent, which a ping would only detect after PingInterval; calls in progress stay on it.
+func (p *Pool) Renew(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cached, ok := p.clients[address]; ok {
+		cached.transport.CloseIdleConnections()
+		delete(p.clients, address)
+	}
+}
+
 // Exchange calls Exchange of the instance at address. It implements
 // membership.Transport.
 func (p *Pool) Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
@@ -155,7 +173,13 @@
 }
 
 // Close closes idle connections.
-func (p *Pool) Close() { p.transport.CloseIdleConnections() }
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, cached := range p.clients {
+		cached.transport.CloseIdleConnections()
+	}
+}
 
 // roundTripClient calls the transport directly. An http.Client would follow redirects
 // and send the shared key along.
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -15,6 +15,7 @@
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
+	"github.com/basilloom/basilloom/internal/standin/link"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -114,6 +115,31 @@
 	require.NoError(t, stream.CloseResponse())
 }
 
+// Guards against ticket streams that are opened on a silent connection after their owner
+// has failed to respond.
+func TestRenewReplacesASilentConnection(t *testing.T) {
+	network := link.New(link.Settings{})
+	defer network.Close()
+	address, err := network.Forward(link.AToB, "127.0.0.1:0", serve(t, &service{}))
+	require.NoError(t, err)
+	pool := newPool(t, "correct shared key")
+	granted := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		stream := pool.Client(address).Tickets(ctx)
+		_ = stream.Send(&pb.TicketsRequest{Submit: []*pb.Ticket{{Id: 1}}}) // Receive returns the cause of a failure
+		_, err := stream.Receive()
+		_ = stream.CloseRequest()
+		_ = stream.CloseResponse()
+		return err == nil
+	}
+	require.True(t, granted())
+	network.Silence()
+	require.False(t, granted())
+	pool.Renew(address)
+	require.True(t, granted())
+}
+
 // Guards against an exchange that never returns, and against a message that exhausts
 // the receiver's memory.
 func TestDeadlineAndSizeLimit(t *testing.T) {
@@ -131,7 +157,7 @@
 	time.Sleep(50 * time.Millisecond) // an empty request would arrive within this time
 	require.Equal(t, int64(1), s.exchanges.Load(), "too large to send")
 
-	unlimited := basilloomv1connect.NewPeerServiceClient(roundTripClient{pool.transport}, "http://"+address)
+	unlimited := basilloomv1connect.NewPeerServiceClient(roundTripClient{pool.newTransport()}, "http://"+address)
 	request := connect.NewRequest(&pb.ExchangeRequest{ConfigHash: large})
 	request.Header().Set("Authorization", "Bearer correct shared key")
 	_, err = unlimited.Exchange(t.Context(), request)
