--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -15,6 +15,9 @@
 	Key string
 	// PromptTokens and OutputTokens are the size of a generation request; 0 for others.
 	PromptTokens, OutputTokens int
+	// SharedParts are hashes of the parts of the prompt that other requests may share: all
+	// but the last.
+	SharedParts []uint64
 	// ExpectedOutput is the caller's estimate of the generated tokens; 0 without one.
 	ExpectedOutput int
 }
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -50,6 +50,10 @@
 	RetryAfter = "retry_after"
 	// Bytes is the number of response bytes forwarded to the caller.
 	Bytes = "bytes"
+	// Events is the number of stream events received from the target.
+	Events = "events"
+	// SharedParts are the hashes of the parts of the prompt that other requests may share.
+	SharedParts = "shared_parts"
 	// Complete is set if the whole response was forwarded to the caller.
 	Complete = "complete"
 )
