scheduler: requests that had begun to receive their response are no suspects

When a target crashes, each request on it became a suspect, which runs as the only request on a target: 10 to 13 for each crash, of which 8 to 11 were streams that had already received events. They waited for idle targets, which drained for them meanwhile.

Change: a crash after the response has begun is recorded but makes no suspect; a second one still quarantines the request, as before. TestRequestsThatHadBegunAreNotSuspects failed before.

--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -105,7 +105,7 @@
 	m.Versions = i.tracker.Report()
 	for _, c := range i.crashes.forReport(time.Now()) {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
-			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets,
+			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets, Begun: c.Begun,
 		})
 	}
 }
@@ -125,7 +125,7 @@
 	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
 		entries = append(entries, scheduler.QuarantineEntry{
-			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(),
+			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(), Begun: c.GetBegun(),
 		})
 	}
 	i.applyCrashes(entries, fromPeer)
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -314,7 +314,7 @@
 		g.recordOutcome(true)
 		g.targetFailed(now, r, false)
 	case ResultTargetCrashed:
-		g.quarantine.RecordCrash(now, r.ticket.Fingerprint, s.Name)
+		g.quarantine.RecordCrash(now, r.ticket.Fingerprint, s.Name, c.FirstToken > 0)
 		g.targetFailed(now, r, true)
 		s.index.clear()
 		s.prefillEnd = now
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -203,6 +203,21 @@
 	require.Equal(t, QuarantineDuration, refusal.RetryAfter)
 }
 
+// Guards against requests that had begun to receive their responses when their target
+// crashed and then wait for idle targets.
+func TestRequestsThatHadBegunAreNotSuspects(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "a", Concurrency: 4})
+	require.Len(t, g.Submit(t0, testTicket(1, nil)), 1)
+	require.Len(t, g.Submit(t0, testTicket(2, nil)), 1)
+	g.Complete(t0, Completion{ID: testID(1), Result: ResultTargetCrashed, FirstToken: time.Second})
+	g.Complete(t0, ended(2, ResultTargetCrashed))
+	g.SetTargets(t0, []Target{{Name: "b", Concurrency: 4}})
+	require.Len(t, g.Submit(t0, testTicket(3, nil)), 1)
+	again := func(n int) Ticket { return testTicket(10+n, func(t *Ticket) { t.Fingerprint = uint64(n) }) }
+	require.Len(t, g.Submit(t0, again(1)), 1, "had begun")
+	require.Empty(t, g.Submit(t0, again(2)), "had not begun")
+}
+
 // Guards against the ejection of a target for requests whose entry has no stream
 // and cannot report their ends.
 func TestRequestsOfEntryWithoutStreamDoNotHang(t *testing.T) {
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -39,6 +39,8 @@
 	ValidFor    time.Duration
 	// CrashedTargets lists the targets that crashed while they ran the request.
 	CrashedTargets []string
+	// Begun is set if the request had begun to receive its response on each of them.
+	Begun bool
 }
 
 // Quarantine records the fingerprints of requests that ran on targets that
@@ -53,6 +55,10 @@
 	// cleared marks a suspect that was served. Its crashes are kept, so that a
 	// late entry from a peer does not make it a suspect again.
 	cleared bool
+	// begun is set if the request had begun to receive its response before each crash. A
+	// request that crashes targets mostly does so before, so one such crash makes no
+	// suspect.
+	begun bool
 }
 
 // NewQuarantine returns an empty quarantine.
@@ -60,17 +66,18 @@
 	return &Quarantine{records: make(map[uint64]*quarantineRecord)}
 }
 
-// RecordCrash records that the target crashed while it ran the request. A further
-// report for the same target changes nothing. RecordCrash reports whether the record
-// changed, so that the change can be sent to peers. Fingerprint 0 is ignored.
-func (q *Quarantine) RecordCrash(now time.Time, fingerprint uint64, target string) bool {
-	return q.add(now, fingerprint, []string{target}, SuspectDuration)
+// RecordCrash records that the target crashed while it ran the request; begun states
+// that the request had begun to receive its response. A further report for the same
+// target changes nothing. RecordCrash reports whether the record changed, so that the
+// change can be sent to peers. Fingerprint 0 is ignored.
+func (q *Quarantine) RecordCrash(now time.Time, fingerprint uint64, target string, begun bool) bool {
+	return q.add(now, QuarantineEntry{Fingerprint: fingerprint, ValidFor: SuspectDuration, CrashedTargets: []string{target}, Begun: begun})
 }
 
 // RecordSuccess clears a suspect that a target served. A quarantined fingerprint
 // stays quarantined.
 func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) {
-	if r, ok := q.records[fingerprint]; ok && r.verdict(now) == VerdictSuspect {
+	if r, ok := q.records[fingerprint]; ok && r.verdict(now) != VerdictQuarantined {
 		r.cleared = true
 	}
 }
@@ -92,22 +99,23 @@
 func (q *Quarantine) Merge(now time.Time, entries []QuarantineEntry) bool {
 	changed := false
 	for _, e := range entries {
-		if q.add(now, e.Fingerprint, e.CrashedTargets, min(e.ValidFor, QuarantineDuration)) {
+		e.ValidFor = min(e.ValidFor, QuarantineDuration)
+		if q.add(now, e) {
 			changed = true
 		}
 	}
 	return changed
 }
 
-// Entries returns the suspects and quarantined fingerprints in force, sorted by fingerprint.
+// Entries returns the records in force, sorted by fingerprint.
 func (q *Quarantine) Entries(now time.Time) []QuarantineEntry {
 	var entries []QuarantineEntry
 	for fingerprint, r := range q.records {
-		if r.verdict(now) == VerdictClean {
+		if r.cleared || !now.Before(r.until) {
 			continue
 		}
 		entries = append(entries, QuarantineEntry{
-			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed),
+			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed), Begun: r.begun,
 		})
 	}
 	slices.SortFunc(entries, func(a, b QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -123,18 +131,18 @@
 	}
 }
 
-func (q *Quarantine) add(now time.Time, fingerprint uint64, crashed []string, valid time.Duration) bool {
-	if fingerprint == 0 || valid <= 0 || len(crashed) == 0 {
+func (q *Quarantine) add(now time.Time, e QuarantineEntry) bool {
+	if e.Fingerprint == 0 || e.ValidFor <= 0 || len(e.CrashedTargets) == 0 {
 		return false
 	}
-	r, ok := q.records[fingerprint]
+	r, ok := q.records[e.Fingerprint]
 	if !ok || !now.Before(r.until) {
 		q.evictIfFull(now)
-		r = &quarantineRecord{until: now.Add(valid)}
-		q.records[fingerprint] = r
+		r = &quarantineRecord{until: now.Add(e.ValidFor), begun: true}
+		q.records[e.Fingerprint] = r
 	}
 	changed := false
-	for _, target := range crashed {
+	for _, target := range e.CrashedTargets {
 		if slices.Contains(r.crashed, target) {
 			continue
 		}
@@ -143,8 +151,9 @@
 	}
 	if changed {
 		r.cleared = false
+		r.begun = r.begun && e.Begun
 		slices.Sort(r.crashed)
-		r.until = later(r.until, now.Add(valid))
+		r.until = later(r.until, now.Add(e.ValidFor))
 	}
 	return changed
 }
@@ -173,7 +182,7 @@
 		return VerdictClean
 	case len(r.crashed) >= QuarantineCrashes:
 		return VerdictQuarantined
-	case r.cleared:
+	case r.cleared || r.begun:
 		return VerdictClean
 	}
 	return VerdictSuspect
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -10,8 +10,8 @@
 
 // Guards against a poison request that keeps crashing targets, and against the
 // quarantine of requests that merely ran on the same target when it crashed. In
-// the scripts, a and b are crashes of targets, and peer:x is a crash reported by
-// another instance.
+// the scripts, a and b are crashes of targets, begun:x is one after the response has
+// begun, and peer:x is a crash reported by another instance.
 func TestQuarantineVerdicts(t *testing.T) {
 	for script, want := range map[string]Verdict{
 		"a":                 VerdictSuspect,
@@ -26,11 +26,19 @@
 		"a b 10m":           VerdictClean,
 		"a 10m b":           VerdictSuspect,
 		"peer:a peer:b 10m": VerdictClean,
+		"begun:a":           VerdictClean,
+		"begun:a begun:b":   VerdictQuarantined,
+		"begun:a b":         VerdictQuarantined,
+		"a begun:b":         VerdictQuarantined,
+		"begun:a peer:b":    VerdictQuarantined,
 	} {
 		q, now := NewQuarantine(), t0
 		for _, word := range strings.Fields(script) {
 			pause, err := time.ParseDuration(word)
+			begun, isBegun := strings.CutPrefix(word, "begun:")
 			switch peer, isPeer := strings.CutPrefix(word, "peer:"); {
+			case isBegun:
+				q.RecordCrash(now, 7, begun, true)
 			case err == nil:
 				now = now.Add(pause)
 			case word == "served":
@@ -38,7 +46,7 @@
 			case isPeer:
 				q.Merge(now, []QuarantineEntry{{Fingerprint: 7, ValidFor: 100 * time.Hour, CrashedTargets: []string{peer}}})
 			default:
-				q.RecordCrash(now, 7, word)
+				q.RecordCrash(now, 7, word, false)
 			}
 		}
 		got, _ := q.Verdict(now, 7)
@@ -50,11 +58,11 @@
 func TestQuarantineBoundsAndMerge(t *testing.T) {
 	q := NewQuarantine()
 	for i := range uint64(maxQuarantineRecords + 10) {
-		q.RecordCrash(t0.Add(time.Duration(i)), i+1, "a")
+		q.RecordCrash(t0.Add(time.Duration(i)), i+1, "a", false)
 	}
 	require.Len(t, q.records, maxQuarantineRecords)
 	other := NewQuarantine()
 	require.True(t, other.Merge(t0, q.Entries(t0)))
 	require.False(t, other.Merge(t0, q.Entries(t0)))
-	require.False(t, q.RecordCrash(t0, 0, "a"))
+	require.False(t, q.RecordCrash(t0, 0, "a", false))
 }
