scheduler, broker, gateway: quarantine of prompt parts that crash targets

Cause: the quarantine knew whole requests only. No two of these requests are alike, so each one is new and crashes a target, and a second one with its repeat.

Change: a crash under a request that had not begun to receive its response counts for each shared part of its prompt; a request that begins clears its parts, because such a part crashes every target. While crashes are counted for a part, one request with it runs at a time until it has begun, for 0.6 s at the most. At two crashes, both under requests granted after the one before was known, requests with the part are refused. Parts that crashed together are told apart by a request that has only one of them. One request may try again 10, 40, 160 and 600 s after the last crash, by the shared broker only. Entries report to the broker when a request with shared parts begins; peers exchange the records as before.

--- a/broker/client.go
+++ b/broker/client.go
@@ -189,6 +189,13 @@
 	call.link.do(func() { call.link.dispatched(call) })
 }
 
+// Begun notifies the broker that the request has begun to receive its response.
+func (call *Call) Begun() {
+	if len(call.ticket.GetSharedParts()) > 0 {
+		call.link.do(func() { call.link.begun(call) })
+	}
+}
+
 // Complete ends a granted call. The client sets the id of the completion.
 func (call *Call) Complete(completion *pb.Completion) {
 	completion.Id = call.ticket.GetId()
--- a/broker/convert.go
+++ b/broker/convert.go
@@ -25,6 +25,7 @@
 		Deadline:     now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Finish:       finish(now, m),
 		Fingerprint:  m.GetFingerprint(),
+		SharedParts:  m.GetSharedParts(),
 		Cancellable:  m.GetCancellable(),
 		Idempotent:   m.GetIdempotent(),
 		Avoid:        m.GetAvoid(),
--- a/broker/link.go
+++ b/broker/link.go
@@ -296,6 +296,12 @@
 	}
 }
 
+func (l *link) begun(call *Call) {
+	if call.state == callGranted && l.stream != nil {
+		l.out.Begun = append(l.out.Begun, call.ticket.GetId())
+	}
+}
+
 // running returns the message that reports the call to a broker that did not grant it.
 func (call *Call) running(now time.Time) *pb.Running {
 	return &pb.Running{
@@ -399,7 +405,8 @@
 
 func isEmpty(r *pb.TicketsRequest) bool {
 	return r.GetHello() == nil && len(r.GetSubmit()) == 0 && len(r.GetWithdraw()) == 0 &&
-		len(r.GetComplete()) == 0 && len(r.GetRunning()) == 0 && len(r.GetDispatched()) == 0
+		len(r.GetComplete()) == 0 && len(r.GetRunning()) == 0 && len(r.GetDispatched()) == 0 &&
+		len(r.GetBegun()) == 0
 }
 
 // closeFailed closes a failed stream and delays the next attempt to open one.
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -228,6 +228,23 @@
 	}
 }
 
+// PartsBegun tells all groups that a request with the parts in its prompt has begun to
+// receive its response.
+func (m *Manager) PartsBegun(parts []uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, part := range parts {
+		m.quarantine.RecordPartBegun(now, part)
+	}
+	for _, r := range m.runners {
+		select {
+		case r.events <- r.partsBegun(parts):
+		default: // the next request that begins repeats it
+		}
+	}
+}
+
 // ExternalLoad is load on a target that the group has not granted.
 type ExternalLoad struct {
 	Running      int
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -199,6 +199,10 @@
 	return func(now time.Time) []scheduler.Decision { return r.group.SetQuarantined(now, entries) }
 }
 
+func (r *runner) partsBegun(parts []uint64) event {
+	return func(now time.Time) []scheduler.Decision { return r.group.PartsBegun(now, parts) }
+}
+
 func (r *runner) setExternalLoad(loads map[string]ExternalLoad) event {
 	return func(now time.Time) []scheduler.Decision {
 		for _, t := range r.targets {
@@ -279,6 +283,9 @@
 		for _, sequence := range m.GetDispatched() {
 			r.group.Dispatched(now, ticketID(s.hello, sequence))
 		}
+		for _, sequence := range m.GetBegun() {
+			decisions = append(decisions, r.group.Begun(now, ticketID(s.hello, sequence))...)
+		}
 		for _, c := range m.GetComplete() {
 			r.targetCrashed = r.targetCrashed || c.GetResult() == pb.Result_RESULT_TARGET_DIED
 			decisions = append(decisions, r.group.Complete(now, toCompletion(s.hello, c))...)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -231,6 +231,7 @@
 		BodyBytes:    int64(len(r.body)),
 		FinishMs:     max(1, r.remaining(time.Now()).Milliseconds()),
 		Fingerprint:  r.fingerprint,
+		SharedParts:  r.call.SharedParts,
 		Idempotent:   r.route.Repeatable(),
 		Avoid:        r.tried,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,8 +31,11 @@
 	RetryBudgets *quota.RetryBudgets
 	// Rollouts chooses the versions to use while services change versions.
 	Rollouts *rollout.Tracker
-	Metrics  *Metrics
-	Log      *zap.Logger
+	// OnBegun is called with the shared parts of a prompt when a request with it begins to
+	// receive its response; may be nil.
+	OnBegun func(sharedParts []uint64)
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 // Gateway serves callers' requests.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -190,6 +190,7 @@
 
 // markStarted records that the first event has arrived.
 func (s *slot) markStarted() {
+	s.call.Begun()
 	s.placer.mu.Lock()
 	defer s.placer.mu.Unlock()
 	s.responseStarted = true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,9 @@
 	if a.events == 0 {
 		a.firstByte = time.Since(a.sent)
 		a.slot.markStarted()
+		if begun := a.gateway.settings.OnBegun; begun != nil && len(a.req.call.SharedParts) > 0 {
+			begun(a.req.call.SharedParts)
+		}
 		a.gateway.observeFirst(a)
 	}
 	a.events++
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/basilloom/basilloom/broker"
+	"github.com/basilloom/basilloom/gateway"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/gen/basilloom/v1/basilloomv1connect"
 	"github.com/basilloom/basilloom/peer"
@@ -63,6 +64,16 @@
 // Owner implements broker.Resolver.
 func (r localResolver) Owner(broker.GroupKey) (broker.Peer, bool) { return r.self, true }
 
+// localSource provides the groups that each instance runs by itself.
+type localSource struct{ *gateway.Groups }
+
+// Group implements broker.Source.
+func (s localSource) Group(key broker.GroupKey) (broker.GroupSettings, bool) {
+	settings, ok := s.Groups.Group(key)
+	settings.Config.NoPartRetries = true
+	return settings, ok
+}
+
 // ticketService serves the ticket streams of other instances.
 type ticketService struct {
 	basilloomv1connect.UnimplementedPeerServiceHandler
@@ -86,7 +97,7 @@
 	resolver := localResolver{self}
 	i.peers = peer.NewPool(key)
 	i.shared = broker.NewManager(i.runCtx, self.Name, fleetResolver{i}, i.groups, nil, hooks, i.log)
-	i.local = broker.NewManager(i.runCtx, self.Name, resolver, i.groups, nil, hooks, i.log.Named("alone"))
+	i.local = broker.NewManager(i.runCtx, self.Name, resolver, localSource{i.groups}, nil, hooks, i.log.Named("alone"))
 	client := broker.ClientSettings{
 		Self: self.Name, Incarnation: i.incarnation, Region: settings.Zone, Resolver: resolver, Opener: noOpener{},
 		Local: i.local, OwnerTimeout: ownerTimeout, ResponseTimeout: responseTimeout, OwnerCheckInterval: ownerCheckInterval, Log: i.log,
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -1,6 +1,9 @@
 package instance
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,15 +39,32 @@
 // groups.
 func (i *Instance) applyCrashes(entries []scheduler.QuarantineEntry, source crashSource) {
 	now := time.Now()
-	if !i.crashes.merge(now, entries, source) {
+	changed := i.crashes.merge(now, entries, source)
+	if len(changed) == 0 {
 		return
 	}
 	quarantined := i.crashes.entries(now)
 	i.log.Warn("crash records updated", zap.Int(field.CrashRecords, len(quarantined)))
+	for _, e := range changed {
+		if e.Part {
+			i.log.Warn("targets crashed under a prompt part", zap.Uint64(field.Part, e.Fingerprint),
+				zap.Int(field.Crashes, e.Crashes), zap.Strings(field.Targets, e.CrashedTargets))
+		}
+	}
 	i.shared.SetQuarantined(quarantined)
 	i.local.SetQuarantined(quarantined)
 }
 
+// partsBegun clears parts of prompts of which a request has begun to receive its response.
+func (i *Instance) partsBegun(parts []uint64) {
+	if !i.crashes.partsBegun(time.Now(), parts) {
+		return
+	}
+	i.log.Info("prompt parts cleared", zap.Uint64s(field.SharedParts, parts))
+	i.shared.PartsBegun(parts)
+	i.local.PartsBegun(parts)
+}
+
 // crashes holds this instance's records of requests that crash targets.
 type crashes struct {
 	mu      sync.Mutex
@@ -59,23 +79,34 @@
 	return &crashes{records: scheduler.NewQuarantine(), unsent: make(map[uint64]int)}
 }
 
-// merge adds entries and reports whether a record changed.
-func (c *crashes) merge(now time.Time, entries []scheduler.QuarantineEntry, source crashSource) bool {
+// merge adds entries and returns those that changed a record.
+func (c *crashes) merge(now time.Time, entries []scheduler.QuarantineEntry, source crashSource) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := false
+	var changed []scheduler.QuarantineEntry
 	for _, e := range entries {
 		if !c.records.Merge(now, []scheduler.QuarantineEntry{e}) {
 			continue
 		}
-		changed = true
-		if source == fromGroup {
+		changed = append(changed, e)
+		if source == fromGroup && !e.Begun {
 			c.unsent[e.Fingerprint] = newRecordReports
 		}
 	}
 	return changed
 }
 
+// partsBegun clears parts and reports whether crashes were counted for one of them.
+func (c *crashes) partsBegun(now time.Time, parts []uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cleared := false
+	for _, part := range parts {
+		cleared = c.records.RecordPartBegun(now, part) || cleared
+	}
+	return cleared
+}
+
 func (c *crashes) entries(now time.Time) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,27 +118,32 @@
 	return c.records.Entries(now)
 }
 
-// forReport returns the records for the next report: new ones and the next ones in
-// rotation. Their number does not depend on the number of records.
+// forReport returns the records for the next report: new ones, those of prompt parts
+// first, and the next ones in rotation. Their number does not depend on the number of
+// records.
 func (c *crashes) forReport(now time.Time) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := c.entriesLocked(now)
 	var report, sent []scheduler.QuarantineEntry
-	for _, e := range all {
-		switch {
-		case c.unsent[e.Fingerprint] == 0:
-			sent = append(sent, e)
-		case len(report) < maxNewRecords:
-			report = append(report, e)
-			c.unsent[e.Fingerprint]--
-		}
-	}
-	for fingerprint, left := range c.unsent {
-		if verdict, _ := c.records.Verdict(now, fingerprint); left == 0 || verdict == scheduler.VerdictClean {
-			delete(c.unsent, fingerprint)
+	inForce := make(map[uint64]bool, len(all))
+	for _, part := range []bool{true, false} {
+		for _, e := range all {
+			if e.Part != part {
+				continue
+			}
+			inForce[e.Fingerprint] = true
+			switch {
+			case c.unsent[e.Fingerprint] == 0:
+				sent = append(sent, e)
+			case len(report) < maxNewRecords:
+				report = append(report, e)
+				c.unsent[e.Fingerprint]--
+			}
 		}
 	}
+	maps.DeleteFunc(c.unsent, func(fingerprint uint64, left int) bool { return left == 0 || !inForce[fingerprint] })
+	slices.SortFunc(sent, func(a, b scheduler.QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return append(report, c.rotate(sent)...)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -115,7 +115,7 @@
 	i.placer = &gateway.Placer{Groups: i.groups, Log: log}
 	i.gateway = gateway.New(gateway.Settings{
 		HeaderCodec: platform.HeaderCodec{}, Pool: i.pool, Placer: i.placer, Ledger: i.ledger,
-		RetryBudgets: i.retries, Rollouts: i.tracker, Metrics: requests, Log: log,
+		RetryBudgets: i.retries, Rollouts: i.tracker, OnBegun: i.partsBegun, Metrics: requests, Log: log,
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -106,6 +106,7 @@
 	for _, c := range i.crashes.forReport(time.Now()) {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
 			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets, Begun: c.Begun,
+			Part: c.Part, Crashes: uint32(c.Crashes), Companions: c.Companions,
 		})
 	}
 }
@@ -126,6 +127,7 @@
 	for _, c := range m.GetCrashes() {
 		entries = append(entries, scheduler.QuarantineEntry{
 			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(), Begun: c.GetBegun(),
+			Part: c.GetPart(), Crashes: int(c.GetCrashes()), Companions: c.GetCompanions(),
 		})
 	}
 	i.applyCrashes(entries, fromPeer)
--- a/scheduler/cancel.go
+++ b/scheduler/cancel.go
@@ -104,8 +104,9 @@
 	if g.hasRunningVictim(w) {
 		return nil, false
 	}
-	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict != VerdictClean {
-		// One free slot is not enough for a suspect, which needs an idle target.
+	if verdict, _ := g.verdict(now, &w.ticket); verdict != VerdictClean {
+		// One free slot is not enough for a suspect, which needs an idle target, or for a
+		// suspect part, which waits for another request to begin.
 		return nil, false
 	}
 	for _, tier := range slices.Backward(g.cancellableRuns) {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -36,6 +36,10 @@
 	Links map[RegionPair]Link
 	// Siblings lists the other shards of the pool.
 	Siblings []int
+	// NoPartRetries refuses requests with a quarantined part until the record expires. It
+	// is set for groups that several instances run side by side, because each of them
+	// would let one request run.
+	NoPartRetries bool
 	// LowestTier is the rank of the lowest configured tier, which is shed
 	// without a floor; 0 means unknown.
 	LowestTier Rank
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -100,11 +100,11 @@
 }
 
 func (g *Group) place(now time.Time, w *waiting) (Decision, placement) {
-	verdict, remaining := g.quarantine.Verdict(now, w.ticket.Fingerprint)
+	verdict, remaining := g.verdict(now, &w.ticket)
 	switch verdict {
 	case VerdictQuarantined:
 		return g.refuse(w, ReasonQuarantined, remaining), refused
-	case VerdictSuspect:
+	case VerdictSuspect, VerdictTrial:
 		g.queue.setSuspect(w, true)
 		return nil, becameSuspect
 	}
@@ -127,8 +127,11 @@
 		expected: seconds(e.total), wait: seconds(e.wait), prefill: seconds(e.prefill), firstToken: seconds(e.first),
 	}
 	r.waitTokens = e.wait / s.speed.perToken
-	if verdict, _ := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict == VerdictSuspect {
+	switch verdict, _ := g.verdict(now, &w.ticket); verdict {
+	case VerdictSuspect:
 		r.exclusive = true
+	case VerdictTrial:
+		r.trial = true
 	}
 	g.start(now, r)
 	g.grants = append(g.grants, r)
@@ -136,22 +139,30 @@
 	return Grant{Ticket: w.ticket.ID, Target: s.Name, Expires: now.Add(GrantValidity)}
 }
 
-// scheduleSuspects grants the suspects of a tier idle targets.
+// scheduleSuspects grants targets to the suspects of a tier and to the tickets with
+// suspect parts.
 func (g *Group) scheduleSuspects(now time.Time, tier *tierQueue, decisions []Decision) []Decision {
 	// The loop may add classes, but only ones without suspects.
 	for _, c := range tier.classes {
 		if !c.suspects {
 			continue
 		}
-		for len(c.tickets) > 0 {
-			d, ok := g.scheduleSuspect(now, c.tickets[0])
+		var waiting []*waiting
+		for len(c.tickets) > 0 && len(waiting) < maxSkips {
+			w := c.tickets[0]
+			d, ok := g.scheduleSuspect(now, w)
 			if !ok {
-				break // the others of the class have to wait too
+				// Others of the class may wait for something else.
+				heap.Remove(&c.tickets, w.classIndex)
+				waiting = append(waiting, w)
 			}
 			if d != nil {
 				decisions = append(decisions, d)
 			}
 		}
+		for _, w := range waiting {
+			heap.Push(&c.tickets, w)
+		}
 	}
 	return decisions
 }
@@ -159,13 +170,20 @@
 // scheduleSuspect reports false if the suspect has to wait. The decision is nil if
 // the ticket is no longer a suspect.
 func (g *Group) scheduleSuspect(now time.Time, w *waiting) (Decision, bool) {
-	switch verdict, remaining := g.quarantine.Verdict(now, w.ticket.Fingerprint); verdict {
+	verdict, remaining := g.verdict(now, &w.ticket)
+	switch verdict {
 	case VerdictQuarantined:
 		return g.refuse(w, ReasonQuarantined, remaining), true
 	case VerdictClean:
 		g.queue.setSuspect(w, false)
 		return nil, true
 	}
+	if g.awaitsTrial(now, &w.ticket) {
+		return nil, false
+	}
+	if verdict == VerdictTrial {
+		return g.placeTrial(now, w)
+	}
 	return g.placeSuspect(now, w)
 }
 
@@ -299,6 +317,6 @@
 	if !s.health.mayProbe(now, t, lowest) || !s.hasVersion(t.Version) || avoids(t, s) {
 		return false
 	}
-	verdict, _ := g.quarantine.Verdict(now, t.Fingerprint)
+	verdict, _ := g.verdict(now, t)
 	return verdict == VerdictClean
 }
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -37,6 +37,9 @@
 	links   map[RegionPair]*link
 	queue   *queue
 	running map[TicketID]*run
+	// unbegun holds the running requests that have not begun to receive their response, by
+	// shared part of their prompt.
+	unbegun map[uint64][]*run
 	// grants holds the granted requests in the order of their grants, for expiry.
 	grants          []*run
 	reclaimed       map[TicketID]*run
@@ -70,6 +73,10 @@
 	cancelled  bool
 	// exclusive marks a suspect, which must be the only request on its target.
 	exclusive bool
+	// trial marks a request with a suspect part.
+	trial bool
+	// begun is set once the request receives its response.
+	begun bool
 	// orphaned is when the entry's stream ended; zero while the stream is open.
 	orphaned time.Time
 	// reclaimed is when the unused grant was reclaimed.
@@ -100,6 +107,7 @@
 		links:      newLinks(cfg.Links),
 		queue:      newQueue(),
 		running:    make(map[TicketID]*run),
+		unbegun:    make(map[uint64][]*run),
 		reclaimed:  make(map[TicketID]*run),
 		quarantine: NewQuarantine(),
 		floor:      newFloor(cfg.Siblings, cfg.LowestTier),
@@ -183,8 +191,8 @@
 	}
 	g.capacity.submitted(t.Tier)
 	g.recordUnreachable(now, &t)
-	verdict, _ := g.quarantine.Verdict(now, t.Fingerprint)
-	w := g.queue.push(t, g.set(t.Version), t.Deadline, verdict == VerdictSuspect)
+	verdict, _ := g.verdict(now, &t)
+	w := g.queue.push(t, g.set(t.Version), t.Deadline, verdict != VerdictClean)
 	g.queue.setLatest(w, g.latestDispatch(w))
 	return g.decide(now)
 }
@@ -238,6 +246,7 @@
 	if r.exclusive {
 		r.target.exclusive = true
 	}
+	g.beginTrial(r)
 	g.cancellableRuns.add(r)
 	g.refreshOpen(r.target)
 }
@@ -252,6 +261,7 @@
 	if r.exclusive {
 		r.target.exclusive = false
 	}
+	g.endTrial(r)
 	r.target.ended(now)
 	g.refreshOpen(r.target)
 	g.deleteIfUnused(r.target)
@@ -314,7 +324,7 @@
 		g.recordOutcome(true)
 		g.targetFailed(now, r, false)
 	case ResultTargetCrashed:
-		g.quarantine.RecordCrash(now, r.ticket.Fingerprint, s.Name, c.FirstToken > 0)
+		g.recordCrash(now, r, r.begun || c.FirstToken > 0)
 		g.targetFailed(now, r, true)
 		s.index.clear()
 		s.prefillEnd = now
@@ -338,6 +348,7 @@
 func (g *Group) recordServed(now time.Time, r *run, c Completion) {
 	s := r.target
 	g.quarantine.RecordSuccess(now, r.ticket.Fingerprint)
+	g.markBegun(now, r)
 	batch := (r.batch + s.running + 1) / 2
 	if c.PromptTokens == 0 {
 		c.PromptTokens = r.ticket.PromptTokens
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -26,6 +26,9 @@
 // Verdicts of a Quarantine.
 const (
 	VerdictClean Verdict = iota
+	// VerdictTrial requests wait while another request with the same part of a prompt is
+	// about to begin.
+	VerdictTrial
 	// VerdictSuspect requests run as the only request on their target.
 	VerdictSuspect
 	// VerdictQuarantined requests are refused.
@@ -41,12 +44,20 @@
 	CrashedTargets []string
 	// Begun is set if the request had begun to receive its response on each of them.
 	Begun bool
+	// Part is set if Fingerprint identifies a shared part of prompts. Crashes then counts
+	// the crashes since a request with the part last began, and Companions are other parts
+	// of the prompt of the last one.
+	Part       bool
+	Crashes    int
+	Companions []uint64
 }
 
 // Quarantine records the fingerprints of requests that ran on targets that
 // crashed. It is not safe for concurrent use.
 type Quarantine struct {
 	records map[uint64]*quarantineRecord
+	// parts holds the records of shared parts of prompts.
+	parts map[uint64]*partRecord
 }
 
 type quarantineRecord struct {
@@ -63,7 +74,7 @@
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{records: make(map[uint64]*quarantineRecord)}
+	return &Quarantine{records: make(map[uint64]*quarantineRecord), parts: make(map[uint64]*partRecord)}
 }
 
 // RecordCrash records that the target crashed while it ran the request; begun states
@@ -109,7 +120,7 @@
 
 // Entries returns the records in force, sorted by fingerprint.
 func (q *Quarantine) Entries(now time.Time) []QuarantineEntry {
-	var entries []QuarantineEntry
+	entries := q.partEntries(now)
 	for fingerprint, r := range q.records {
 		if r.cleared || !now.Before(r.until) {
 			continue
@@ -129,12 +140,20 @@
 			delete(q.records, fingerprint)
 		}
 	}
+	for part, r := range q.parts {
+		if !now.Before(r.until) {
+			delete(q.parts, part)
+		}
+	}
 }
 
 func (q *Quarantine) add(now time.Time, e QuarantineEntry) bool {
 	if e.Fingerprint == 0 || e.ValidFor <= 0 || len(e.CrashedTargets) == 0 {
 		return false
 	}
+	if e.Part {
+		return q.addPart(now, e)
+	}
 	r, ok := q.records[e.Fingerprint]
 	if !ok || !now.Before(r.until) {
 		q.evictIfFull(now)
--- a/scheduler/refuse.go
+++ b/scheduler/refuse.go
@@ -18,7 +18,7 @@
 
 // refuseImmediately refuses a new ticket that must not wait.
 func (g *Group) refuseImmediately(now time.Time, t *Ticket) (Decision, bool) {
-	if verdict, remaining := g.quarantine.Verdict(now, t.Fingerprint); verdict == VerdictQuarantined {
+	if verdict, remaining := g.verdict(now, t); verdict == VerdictQuarantined {
 		return Refusal{Ticket: t.ID, Reason: ReasonQuarantined, RetryAfter: remaining}, true
 	}
 	if held, ok := g.floor.current(now); ok && t.Tier > held.highest {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -48,6 +48,8 @@
 	hanging bool
 	// exclusive is set while a suspect is the only request that may run here.
 	exclusive bool
+	// trials counts the running requests with a suspect part that have not begun.
+	trials int
 	// reservedFor is the waiting suspect for which the target drains.
 	reservedFor *waiting
 	// busyUntil is the latest expected end of the requests granted here.
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -42,6 +42,8 @@
 	Finish time.Time
 	// Fingerprint identifies the content of the request across repeated sends.
 	Fingerprint uint64
+	// SharedParts are hashes of the parts of the prompt that other requests may share.
+	SharedParts []uint64
 	// Cancellable permits cancelling the request while it runs.
 	Cancellable bool
 	// Idempotent marks a request that may serve as a probe of an ejected target.
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -78,6 +78,12 @@
 	Backoff = "backoff"
 	// CrashRecords is the number of records of requests that crash targets.
 	CrashRecords = "known"
+	// Part is the hash of a part of prompts that requests share.
+	Part = "part"
+	// Crashes is the number of crashes counted for a prompt part since a request with it last began.
+	Crashes = "crashes"
+	// Targets are the ids of targets.
+	Targets = "targets"
 )
 
 // Fields of instances.
