instance: quarantined prompt parts are in each report

An instance that has just started may own the shared broker at once.

Change: up to four quarantined parts are in each report, and a record names the last six targets, so the size of reports stays bounded. TestQuarantinedPartsAreInEachReport failed before.

--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -23,6 +23,9 @@
 	// rotatedRecords is the number of other records. They reach instances that started
 	// or were partitioned when the record was new.
 	rotatedRecords = 1
+	// repeatedParts bounds the quarantined prompt parts in each report. An instance that
+	// has just started may own a broker at once and must know them.
+	repeatedParts = 4
 )
 
 // crashSource is where crash records come from.
@@ -71,8 +74,9 @@
 	records *scheduler.Quarantine
 	// unsent holds, by fingerprint, in how many more reports a new record is contained.
 	unsent map[uint64]int
-	// rotated is the fingerprint of the last record sent in rotation.
-	rotated uint64
+	// parts and others choose the repeated records of quarantined prompt parts and of the
+	// rest.
+	parts, others rotation
 }
 
 func newCrashes() *crashes {
@@ -118,48 +122,66 @@
 	return c.records.Entries(now)
 }
 
-// forReport returns the records for the next report: new ones, those of prompt parts
-// first, and the next ones in rotation. Their number does not depend on the number of
-// records.
+// forReport returns the records for the next report: new ones, quarantined parts of
+// prompts, and the next of the others in rotation. Their number does not depend on the
+// number of records.
 func (c *crashes) forReport(now time.Time) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := c.entriesLocked(now)
-	var report, sent []scheduler.QuarantineEntry
+	all := partsFirst(c.entriesLocked(now))
+	var report, parts, others []scheduler.QuarantineEntry
 	inForce := make(map[uint64]bool, len(all))
-	for _, part := range []bool{true, false} {
-		for _, e := range all {
-			if e.Part != part {
-				continue
-			}
-			inForce[e.Fingerprint] = true
-			switch {
-			case c.unsent[e.Fingerprint] == 0:
-				sent = append(sent, e)
-			case len(report) < maxNewRecords:
-				report = append(report, e)
-				c.unsent[e.Fingerprint]--
-			}
+	for _, e := range all {
+		inForce[e.Fingerprint] = true
+		switch {
+		case c.unsent[e.Fingerprint] > 0 && len(report) < maxNewRecords:
+			report = append(report, e)
+			c.unsent[e.Fingerprint]--
+		case c.unsent[e.Fingerprint] > 0:
+		case e.Part && e.Crashes >= scheduler.PartCrashes:
+			parts = append(parts, e)
+		default:
+			others = append(others, e)
 		}
 	}
 	maps.DeleteFunc(c.unsent, func(fingerprint uint64, left int) bool { return left == 0 || !inForce[fingerprint] })
-	slices.SortFunc(sent, func(a, b scheduler.QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return append(report, c.rotate(sent)...)
+	report = append(report, c.parts.next(parts, repeatedParts)...)
+	return append(report, c.others.next(others, rotatedRecords)...)
 }
 
-// rotate returns the entries that follow the last rotated one; the entries are sorted
-// by fingerprint.
-func (c *crashes) rotate(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
+// partsFirst sorts the records of prompt parts before the others.
+func partsFirst(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
+	slices.SortStableFunc(entries, func(a, b scheduler.QuarantineEntry) int {
+		switch {
+		case a.Part == b.Part:
+			return 0
+		case a.Part:
+			return -1
+		}
+		return 1
+	})
+	return entries
+}
+
+// rotation chooses records in turn.
+type rotation struct {
+	// last is the fingerprint of the last record chosen.
+	last uint64
+}
+
+// next returns up to n entries that follow the last ones in the order of fingerprints.
+func (r *rotation) next(entries []scheduler.QuarantineEntry, n int) []scheduler.QuarantineEntry {
+	slices.SortFunc(entries, func(a, b scheduler.QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	next := 0
-	for next < len(entries) && entries[next].Fingerprint <= c.rotated {
+	for next < len(entries) && entries[next].Fingerprint <= r.last {
 		next++
 	}
-	var rotated []scheduler.QuarantineEntry
-	for range min(rotatedRecords, len(entries)) {
+	var chosen []scheduler.QuarantineEntry
+	for range min(n, len(entries)) {
 		e := entries[next%len(entries)]
-		rotated = append(rotated, e)
-		c.rotated = e.Fingerprint
+		chosen = append(chosen, e)
+		r.last = e.Fingerprint
 		next++
 	}
-	return rotated
+	return chosen
 }
--- a/internal/instance/crashes_test.go
+++ b/internal/instance/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,3 +65,20 @@
 	}
 	require.Len(t, late.entries(now), 40)
 }
+
+// Guards against an instance that starts, owns a broker at once and does not know the
+// quarantined prompt parts, because the records take their turn among many others.
+func TestQuarantinedPartsAreInEachReport(t *testing.T) {
+	now := time.Now()
+	sender := newCrashes()
+	sender.merge(now, crashEntries(100), fromGroup)
+	part := scheduler.QuarantineEntry{Fingerprint: 7, Part: true, Crashes: scheduler.PartCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
+	sender.merge(now, []scheduler.QuarantineEntry{part}, fromGroup)
+	for range 200 {
+		late := newCrashes()
+		late.merge(now, sender.forReport(now), fromPeer)
+		require.True(t, slices.ContainsFunc(late.entries(now), func(e scheduler.QuarantineEntry) bool {
+			return e.Fingerprint == part.Fingerprint && e.Crashes == part.Crashes
+		}))
+	}
+}
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -18,8 +18,8 @@
 	// partRetryFactor.
 	partRetryBackoff = 10 * time.Second
 	partRetryFactor  = 4
-	// maxPartTargets and maxPartCompanions bound a record.
-	maxPartTargets    = 16
+	// maxPartTargets and maxPartCompanions bound a record, and so its size in reports.
+	maxPartTargets    = 6
 	maxPartCompanions = 4
 )
 
