gateway: send nothing to a target for the time that it asks for

Change: the instance excludes this start of the target until the time is over. Its tickets name the excluded targets, so the shared broker grants others; a grant that was on its way is returned unused and the ticket is submitted again. An excluded target has not failed, so it is not ejected for other instances.

TestTargetThatAsksForAPauseGetsNoRequests (plain service and model engine) failed before.

--- a/broker/convert.go
+++ b/broker/convert.go
@@ -29,6 +29,7 @@
 		Cancellable:  m.GetCancellable(),
 		Idempotent:   m.GetIdempotent(),
 		Avoid:        m.GetAvoid(),
+		Excluded:     m.GetExcluded(),
 	}
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -54,7 +54,9 @@
 	// Local submits to this instance's own groups.
 	Local  *broker.Client
 	Groups *Groups
-	Log    *zap.Logger
+	// Excluded are the targets to which no request is sent for a time.
+	Excluded exclusions
+	Log      *zap.Logger
 
 	mu            sync.Mutex
 	slotsByTarget map[string]map[*slot]bool
@@ -72,10 +74,28 @@
 	responseStarted bool
 }
 
-var errBrokerUnresponsive = errors.New("shared broker does not respond")
+var (
+	errBrokerUnresponsive = errors.New("shared broker does not respond")
+	errTargetExcluded     = errors.New("grant for an excluded target")
+)
+
+// maxExcludedGrants bounds the grants for targets that were excluded while the ticket
+// waited.
+const maxExcludedGrants = 3
 
 // acquire waits for a slot. The error is a *RefusedError or the context's cause.
 func (p *Placer) acquire(ctx context.Context, service *routing.Service, ticket *pb.Ticket, deadline time.Time) (*slot, error) {
+	for range maxExcludedGrants {
+		ticket.Excluded = p.Excluded.ids(p.Groups, time.Now())
+		s, err := p.acquireOnce(ctx, service, ticket, deadline)
+		if !errors.Is(err, errTargetExcluded) {
+			return s, err
+		}
+	}
+	return nil, &RefusedError{Reason: scheduler.ReasonNoTarget}
+}
+
+func (p *Placer) acquireOnce(ctx context.Context, service *routing.Service, ticket *pb.Ticket, deadline time.Time) (*slot, error) {
 	key := broker.GroupKey{Pool: service.Name}
 	if p.Shared != nil && service.Engine && !p.isLocalOnly() {
 		call := p.Shared.Submit(key, ticket, deadline)
@@ -125,6 +145,10 @@
 		call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
 		return nil, &RefusedError{Reason: scheduler.ReasonNoTarget}
 	}
+	if p.Excluded.contains(target, time.Now()) {
+		call.Complete(&pb.Completion{Result: pb.Result_RESULT_NOT_DISPATCHED})
+		return nil, errTargetExcluded
+	}
 	s := &slot{placer: p, call: call, target: target, granted: time.Now(), promptTokens: int(call.PromptTokens()), shared: shared}
 	p.add(s)
 	call.Dispatched()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 	"github.com/basilloom/basilloom/broker"
 	"github.com/basilloom/basilloom/forward"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/routing"
 	"github.com/basilloom/basilloom/telemetry/field"
 )
 
@@ -169,6 +170,12 @@
 // maxUndelivered bounds the unreachable targets that a request tries.
 const maxUndelivered = 4
 
+// exclude stops sends to a target for a time.
+func (g *Gateway) exclude(target routing.Target, d time.Duration, cause string) {
+	g.settings.Placer.Excluded.add(target, time.Now().Add(d))
+	g.settings.Log.Info("target excluded", zap.String(field.Target, target.ID), zap.String(field.Cause, cause), zap.Duration(field.Backoff, d))
+}
+
 // attempt is one attempt to run a request on a target.
 type attempt struct {
 	gateway *Gateway
@@ -219,6 +226,9 @@
 	defer func() { closeBody() }()
 	a.req.sends++
 	info := a.gateway.settings.HeaderCodec.DecodeResponse(response.StatusCode, response.Header)
+	if info.RetryAfter > 0 {
+		a.gateway.exclude(a.slot.target, info.RetryAfter, "the target turned a request away")
+	}
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	var o outcome
 	switch {
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -226,6 +226,45 @@
 	require.Equal(t, 20, executed(b))
 }
 
+// Guards against requests to a target that has asked this instance for a pause, and
+// against a target that is not used again after it.
+func TestTargetThatAsksForAPauseGetsNoRequests(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		t.Run(fmt.Sprint("engine ", engine), func(t *testing.T) {
+			t.Parallel()
+			const tolerance, pause = 500 * time.Millisecond, worker.PauseSeconds * time.Second
+			env := newTestEnv(t)
+			env.engine = engine
+			a := env.worker("w-a", func(n int, _ *http.Request) worker.Behaviour {
+				if n == 0 {
+					return worker.Pause
+				}
+				return worker.Serve
+			})
+			env.worker("w-b", worker.Always(worker.Serve))
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			for startedAt := time.Now(); time.Since(startedAt) < pause; time.Sleep(5 * time.Millisecond) {
+				require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+			}
+			runs := a.Runs()
+			require.NotEmpty(t, runs)
+			during := 0
+			for _, r := range runs {
+				if since := r.At.Sub(runs[0].At); since >= tolerance && since < pause {
+					during++
+				}
+			}
+			require.LessOrEqual(t, during, 2)
+			env.store.Delete(platform.TableTargets, "w-b")
+			require.Eventually(t, func() bool {
+				n.call(t, http.MethodGet, "/safe/1", "", nil)
+				return executed(a) > 0
+			}, contactTime, 5*time.Millisecond)
+		})
+	}
+}
+
 // Guards against workers that continue after the caller has disconnected.
 func TestCallerDisconnectCancelsRequest(t *testing.T) {
 	t.Parallel()
--- a/internal/instance/testenv_test.go
+++ b/internal/instance/testenv_test.go
@@ -26,6 +26,10 @@
 // applyTime is the required time for a change to be in force.
 const applyTime = 2500 * time.Millisecond
 
+// contactTime is the time after a disturbance within which an instance must behave as
+// before it.
+const contactTime = 4 * time.Second
+
 // testEnv is a store, workers and instances on the loopback interface.
 type testEnv struct {
 	t       *testing.T
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -48,10 +48,15 @@
 	// LateExtra serves the request, then sends another response with an earlier id on
 	// the same connection.
 	LateExtra
+	// Pause responds like Full and asks for PauseSeconds without requests.
+	Pause
 	// Unknown503 responds with 503 but does not state whether the request ran.
 	Unknown503
 )
 
+// PauseSeconds is the time for which the behaviour Pause asks.
+const PauseSeconds = 2
+
 // Events is the number of events of a complete stream.
 const Events = 10
 
@@ -63,6 +68,7 @@
 	Body                            string
 	Header                          http.Header
 	Executed                        bool
+	At                              time.Time
 }
 
 // Worker is a running worker.
@@ -164,7 +170,7 @@
 		if err != nil {
 			return
 		}
-		executed := behaviour != Full && behaviour != OtherInstance
+		executed := behaviour != Full && behaviour != OtherInstance && behaviour != Pause
 		w.record(r, string(body), executed)
 		if !w.handle(conn, reader, r, behaviour, string(body)) {
 			return
@@ -182,7 +188,7 @@
 	w.runs = append(w.runs, Run{
 		ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Workspace: r.Header.Get("Tenant"),
 		Key: r.Header.Get("Authorization"), After: r.Header.Get("Last-Event-Id"), DeadlineMs: deadline,
-		Body: body, Header: r.Header, Executed: executed,
+		Body: body, Header: r.Header, Executed: executed, At: time.Now(),
 	})
 }
 
@@ -194,6 +200,9 @@
 		w.respond(conn, r, http.StatusInternalServerError, "failed", true)
 	case Full:
 		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case Pause:
+		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n",
+			r.Header.Get("Request-Id"), PauseSeconds))
 	case Unknown503:
 		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	case OtherInstance:
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -254,5 +254,5 @@
 }
 
 func avoids(t *Ticket, s *targetState) bool {
-	return len(t.Avoid) > 0 && slices.Contains(t.Avoid, s.Name)
+	return slices.Contains(t.Avoid, s.Name) || slices.Contains(t.Excluded, s.Name)
 }
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -50,6 +50,9 @@
 	Idempotent bool
 	// Avoid lists targets that the entry failed to reach before dispatch.
 	Avoid []string
+	// Excluded lists targets to which the entry must not send for a time. They have not
+	// failed.
+	Excluded []string
 }
 
 // Target describes a back end of the group. Speeds are initial estimates that
