gateway: send nothing to a target that states that it is leaving

Change: the instance excludes this start of the target, as for a pause, until its entry goes or a new start is registered. TestLeavingTargetGetsNoRequests failed before.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -43,6 +43,8 @@
 	NotRun bool
 	// WrongTarget is set if another target responded at the address.
 	WrongTarget bool
+	// Leaving is set if the target states that it is about to stop.
+	Leaving bool
 	// RetryAfter is the time for which a target that turned the request away wants no
 	// requests from this instance; 0 if it states none.
 	RetryAfter time.Duration
--- a/gateway/exclusions.go
+++ b/gateway/exclusions.go
@@ -20,17 +20,23 @@
 	until              time.Time
 }
 
-// add excludes a target until the time, if it is not excluded for longer already.
-func (e *exclusions) add(target routing.Target, until time.Time) {
+// minExtension is the least time by which an exclusion is extended.
+const minExtension = 100 * time.Millisecond
+
+// add excludes a target until the time and reports whether it was not excluded for about
+// as long already. Each response of a leaving target would otherwise extend the exclusion.
+func (e *exclusions) add(target routing.Target, until time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.targets == nil {
 		e.targets = make(map[string]exclusion)
 	}
-	x := e.targets[target.ID]
-	if x.startedAtUnixMilli != target.StartedAtUnixMilli || until.After(x.until) {
-		e.targets[target.ID] = exclusion{target.StartedAtUnixMilli, until}
+	x, ok := e.targets[target.ID]
+	if ok && x.startedAtUnixMilli == target.StartedAtUnixMilli && until.Sub(x.until) < minExtension {
+		return false
 	}
+	e.targets[target.ID] = exclusion{target.StartedAtUnixMilli, until}
+	return true
 }
 
 // contains reports whether this start of the target is excluded.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -170,9 +170,15 @@
 // maxUndelivered bounds the unreachable targets that a request tries.
 const maxUndelivered = 4
 
+// leavingTime is how long a target that is leaving is excluded. The exclusion ends earlier
+// with the target's entry in the registry.
+const leavingTime = time.Hour
+
 // exclude stops sends to a target for a time.
 func (g *Gateway) exclude(target routing.Target, d time.Duration, cause string) {
-	g.settings.Placer.Excluded.add(target, time.Now().Add(d))
+	if !g.settings.Placer.Excluded.add(target, time.Now().Add(d)) {
+		return
+	}
 	g.settings.Log.Info("target excluded", zap.String(field.Target, target.ID), zap.String(field.Cause, cause), zap.Duration(field.Backoff, d))
 }
 
@@ -226,6 +232,9 @@
 	defer func() { closeBody() }()
 	a.req.sends++
 	info := a.gateway.settings.HeaderCodec.DecodeResponse(response.StatusCode, response.Header)
+	if info.Leaving {
+		a.gateway.exclude(a.slot.target, leavingTime, "the target is leaving")
+	}
 	if info.RetryAfter > 0 {
 		a.gateway.exclude(a.slot.target, info.RetryAfter, "the target turned a request away")
 	}
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -265,6 +265,38 @@
 	}
 }
 
+// Guards against requests to a target that has stated in a response that it is leaving
+// and never reports it to the registry, and against a new start of it that is not used.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		t.Run(fmt.Sprint("engine ", engine), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.engine = engine
+			a := env.worker("w-a", firstThen(worker.Leaving, worker.Serve))
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+			b := env.worker("w-b", worker.Always(worker.Serve))
+			require.Eventually(t, func() bool {
+				_, known := n.groups.Target("w-b")
+				return known
+			}, applyTime, 5*time.Millisecond)
+			for range 20 {
+				require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+			}
+			require.Equal(t, 1, executed(a))
+			require.Equal(t, 20, executed(b))
+			env.store.Delete(platform.TableTargets, "w-b")
+			env.registerStart(a, "ready", "v1", 2)
+			require.Eventually(t, func() bool {
+				n.call(t, http.MethodGet, "/safe/1", "", nil)
+				return executed(a) > 1
+			}, applyTime, 5*time.Millisecond)
+		})
+	}
+}
+
 // Guards against workers that continue after the caller has disconnected.
 func TestCallerDisconnectCancelsRequest(t *testing.T) {
 	t.Parallel()
--- a/internal/instance/testenv_test.go
+++ b/internal/instance/testenv_test.go
@@ -120,8 +120,13 @@
 func (env *testEnv) register(w *worker.Worker, state string) { env.registerVersion(w, state, "v1") }
 
 func (env *testEnv) registerVersion(w *worker.Worker, state, version string) {
+	env.registerStart(w, state, version, 1)
+}
+
+// registerStart registers the start of a worker at the given time.
+func (env *testEnv) registerStart(w *worker.Worker, state, version string, startedAtUnixMilli int) {
 	env.store.Put(platform.TableTargets, w.ID, env.encode(map[string]any{
-		"service": "app", "address": w.Address(), "zone": "z1", "version": version, "slots": 4, "state": state, "sequence": 1, "born": 1,
+		"service": "app", "address": w.Address(), "zone": "z1", "version": version, "slots": 4, "state": state, "sequence": 1, "born": startedAtUnixMilli,
 	}))
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -50,6 +50,8 @@
 	LateExtra
 	// Pause responds like Full and asks for PauseSeconds without requests.
 	Pause
+	// Leaving serves the request and states that the worker is about to stop.
+	Leaving
 	// Unknown503 responds with 503 but does not state whether the request ran.
 	Unknown503
 )
@@ -203,6 +205,9 @@
 	case Pause:
 		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n",
 			r.Header.Get("Request-Id"), PauseSeconds))
+	case Leaving:
+		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nServer-Leaving: 1\r\nContent-Length: %d\r\n\r\n%s",
+			r.Header.Get("Request-Id"), w.ID, len(echo), echo))
 	case Unknown503:
 		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	case OtherInstance:
