gateway: a response without the request's id states nothing about the request

Cause: a response without an id passed as the response to the current request. A repeated refusal that carries its id was already discarded; one without an id was taken for a promise that this request has not run.

Change: a response that does not carry the request's id ends the attempt like a broken connection, and its connection is closed.

The stand-in's own refusals carry the id now, as the platform's do.

--- a/gateway/exclusions.go
+++ b/gateway/exclusions.go
@@ -15,7 +15,7 @@
 }
 
 type exclusion struct {
-	// startedAt identifies the start of the target that is excluded.
+	// startedAtUnixMilli identifies the start of the target that is excluded.
 	startedAtUnixMilli int64
 	until              time.Time
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -241,6 +241,10 @@
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	var o outcome
 	switch {
+	case info.RequestID != a.req.call.ID:
+		// A target may repeat an earlier response on a kept connection, a refusal included.
+		a.req.possiblyRan = true
+		o = a.failed("response does not identify its request")
 	case info.WrongTarget || info.NotRun && response.StatusCode != http.StatusBadRequest:
 		closeBody = func() { go discardBody(response.Body) }
 		o, result = a.notRun(response)
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -92,10 +92,7 @@
 // Guards against missing, repeated or merged events of streams, and against a
 // broken stream that looks complete.
 func TestBrokenStreams(t *testing.T) {
-	fullBody := ""
-	for id := 1; id <= worker.Events; id++ {
-		fullBody += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
-	}
+	fullBody := allEvents()
 	for _, c := range []struct {
 		path     string
 		complete bool
@@ -125,6 +122,15 @@
 	}
 }
 
+// allEvents returns the body of a worker's complete stream.
+func allEvents() string {
+	body := ""
+	for id := 1; id <= worker.Events; id++ {
+		body += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return body
+}
+
 // Guards against callers that set headers reserved for the system, and against API keys
 // that reach workers.
 func TestRequestHeadersToWorkers(t *testing.T) {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -52,6 +52,21 @@
 	Pause
 	// Leaving serves the request and states that the worker is about to stop.
 	Leaving
+	// RepeatRefusal sends the worker's last refusal once more and then serves the request;
+	// RepeatAnonymousRefusal sends it without its id.
+	RepeatRefusal
+	RepeatAnonymousRefusal
+	// CutStatusLine, CutHeader and CutHead run the request and close the connection in the
+	// middle of the status line, of a header line, and before the empty line.
+	CutStatusLine
+	CutHeader
+	CutHead
+	// UnframedStream responds with events, without a length or chunks, and closes the
+	// connection; UnframedStreamCut does so in the middle of an event, and
+	// UnframedStreamHead before the first one.
+	UnframedStream
+	UnframedStreamCut
+	UnframedStreamHead
 	// Unknown503 responds with 503 but does not state whether the request ran.
 	Unknown503
 )
@@ -83,7 +98,8 @@
 	behaviour func(n int, r *http.Request) Behaviour
 	conns     map[net.Conn]bool
 	opened    int
-	cancelled int // requests with Hang whose caller closed the connection
+	refused   string // the id of the last request that was refused
+	cancelled int    // requests with Hang whose caller closed the connection
 }
 
 // Start listens on a free port of the loopback interface.
@@ -201,7 +217,21 @@
 	case Fail:
 		w.respond(conn, r, http.StatusInternalServerError, "failed", true)
 	case Full:
-		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		w.refuse(conn, r.Header.Get("Request-Id"))
+	case RepeatRefusal, RepeatAnonymousRefusal:
+		w.mu.Lock()
+		refused := w.refused
+		w.mu.Unlock()
+		if b == RepeatAnonymousRefusal {
+			refused = ""
+		}
+		w.refuse(conn, refused)
+		w.respond(conn, r, http.StatusOK, echo, true)
+	case CutStatusLine, CutHeader, CutHead:
+		head := "HTTP/1.1 200 OK\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\nContent-Type: text/event-stream\r\nResponse-Seal: s\r\n"
+		length := map[Behaviour]int{CutStatusLine: len("HTTP/1.1 200"), CutHeader: len(head) - len("eal: s\r\n"), CutHead: len(head)}[b]
+		w.writeRaw(conn, head[:length])
+		return false
 	case Pause:
 		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n",
 			r.Header.Get("Request-Id"), PauseSeconds))
@@ -209,9 +239,9 @@
 		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nServer-Leaving: 1\r\nContent-Length: %d\r\n\r\n%s",
 			r.Header.Get("Request-Id"), w.ID, len(echo), echo))
 	case Unknown503:
-		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nContent-Length: 0\r\n\r\n")
 	case OtherInstance:
-		w.writeRaw(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n")
+		w.writeRaw(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n")
 	case LoseResponse:
 		return false
 	case CutResponse:
@@ -231,6 +261,9 @@
 		return false
 	case Stream, StreamCut:
 		return w.stream(conn, r, b == StreamCut)
+	case UnframedStream, UnframedStreamCut, UnframedStreamHead:
+		w.unframedStream(conn, r, b)
+		return false
 	case Hang:
 		var one [1]byte
 		if _, err := reader.Read(one[:]); err != nil {
@@ -245,6 +278,18 @@
 	return true
 }
 
+// refuse responds that the request with the id did not run.
+func (w *Worker) refuse(conn net.Conn, id string) {
+	w.mu.Lock()
+	w.refused = id
+	w.mu.Unlock()
+	header := ""
+	if id != "" {
+		header = "Request-Id: " + id + "\r\n"
+	}
+	w.writeRaw(conn, "HTTP/1.1 503 Service Unavailable\r\n"+header+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 func (w *Worker) respond(conn net.Conn, r *http.Request, status int, body string, sealed bool) {
 	seal := ""
 	if sealed {
@@ -254,6 +299,28 @@
 		status, http.StatusText(status), r.Header.Get("Request-Id"), seal, len(body), body))
 }
 
+// unframedStream sends the events that follow the request's Last-Event-Id.
+func (w *Worker) unframedStream(conn net.Conn, r *http.Request, b Behaviour) {
+	w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n\r\n",
+		r.Header.Get("Request-Id"), w.ID))
+	if b == UnframedStreamHead {
+		return
+	}
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		after = 0
+	}
+	for id := after + 1; id <= Events; id++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		if b == UnframedStreamCut && id > Events/2 {
+			w.writeRaw(conn, event[:len(event)/2])
+			return
+		}
+		w.writeRaw(conn, event)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // stream sends the events that follow the request's Last-Event-Id. It reports
 // whether the connection stays open.
 func (w *Worker) stream(conn net.Conn, r *http.Request, cut bool) bool {
