gateway: a resumed stream that ends with its connection before an event is broken

Cause: a stream without a length or chunks is complete when its connection closes between two events. After a resumption that also held before the first event, which is what a target that stops at once looks like.

Change: such a response counts as broken; the request is retried or the caller's stream is cut. A stream that ends between later events is still complete, as nothing else marks its end.

TestResponseAfterABrokenStreamIsNotPartOfIt failed before with a header and no event; its eleven other second responses (errors, refusals, cut headers and bodies) were handled before, so the text of an error never entered the caller's stream here. TestStreamThatEndsWithItsConnection passed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,6 +32,8 @@
 			return outcome{done: true, refusal: reject(statusClientClosedRequest, writeErr.Error())}, pb.Result_RESULT_CANCELLED
 		}
 		switch {
+		case errors.Is(err, io.EOF) && a.resumed && a.events == 0 && endsWithConnection(response):
+			return a.streamFailed(ctx, errNoEvents)
 		case errors.Is(err, io.EOF) && splitter.buffered() == 0 && a.out.started:
 			a.out.complete = true
 			return outcome{done: true}, pb.Result_RESULT_SERVED
@@ -48,8 +50,15 @@
 var (
 	errClosedInEvent = errors.New("stream ended in the middle of an event")
 	errLongEvent     = errors.New("event exceeds the size limit")
+	errNoEvents      = errors.New("connection closed before the first event of a resumed stream")
 )
 
+// endsWithConnection reports whether the response has neither a length nor chunks, so that
+// its end looks like a broken connection.
+func endsWithConnection(response *forward.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // relayEvents writes the complete events to the caller. The header is written with the
 // first event, so that the request can be retried if a target crashes before it.
 func (a *attempt) relayEvents(splitter *eventSplitter, response *forward.Response) error {
--- a/internal/instance/faulty_workers_test.go
+++ b/internal/instance/faulty_workers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +58,62 @@
 	}
 	return 0
 }
+
+// Guards against the text of a response that follows a broken stream in the middle of the
+// caller's stream, and against a stream that then looks complete.
+func TestResponseAfterABrokenStreamIsNotPartOfIt(t *testing.T) {
+	for _, second := range []worker.Behaviour{
+		worker.Fail, worker.Full, worker.Unknown503, worker.OtherInstance, worker.Serve, worker.Unsigned, worker.Unframed,
+		worker.CutStatusLine, worker.CutHeader, worker.CutHead, worker.CutResponse, worker.UnframedStreamHead,
+	} {
+		t.Run(fmt.Sprint("second response ", second), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			behaviour := inTurn(worker.StreamCut, second)
+			env.worker("w-a", behaviour)
+			env.worker("w-b", behaviour)
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			got := n.call(t, http.MethodPost, "/resumable/1", "x", nil)
+			require.Equal(t, 200, got.status)
+			require.Error(t, got.err, "the stream must not look complete")
+			require.True(t, strings.HasPrefix(allEvents(), got.body), got.body)
+		})
+	}
+}
+
+// Guards against a stream without a length or chunks that breaks off and looks complete,
+// and against a whole one that is taken for broken.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		path     string
+		first    worker.Behaviour
+		complete bool
+		runs     int
+	}{
+		{"/stream/1", worker.UnframedStream, true, 1},
+		{"/resumable/1", worker.UnframedStream, true, 1},
+		{"/stream/1", worker.UnframedStreamCut, false, 1},
+		{"/resumable/1", worker.UnframedStreamCut, true, 2},
+		{"/resumable/1", worker.UnframedStreamHead, true, 2},
+	} {
+		t.Run(fmt.Sprint(c.path, " first ", c.first), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			behaviour := firstThen(c.first, worker.UnframedStream)
+			a, b := env.worker("w-a", behaviour), env.worker("w-b", behaviour)
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			got := n.call(t, http.MethodPost, c.path, "x", nil)
+			require.Equal(t, 200, got.status)
+			require.Equal(t, c.runs, executed(a, b))
+			if c.complete {
+				require.NoError(t, got.err)
+				require.Equal(t, allEvents(), got.body)
+				return
+			}
+			require.Error(t, got.err, "a broken stream must not look complete")
+			require.True(t, strings.HasPrefix(allEvents(), got.body))
+		})
+	}
+}
