instance: test that a response with a cut header is not passed on

Report of another operator: a target stopped in the middle of its response header and closed, and callers got a 200 with an empty or short body.

Ruled out here: a header cut in its status line, in a header line or before its empty line is an error of the read, and the request is retried where it may be or answered 502. TestCutHeadIsNotAResponse passes without a change of the code.

--- a/internal/instance/faulty_workers_test.go
+++ b/internal/instance/faulty_workers_test.go
@@ -82,6 +82,36 @@
 	}
 }
 
+// Guards against a response whose head is cut short and that is passed on as a whole one.
+func TestCutHeadIsNotAResponse(t *testing.T) {
+	for _, fault := range []worker.Behaviour{worker.CutStatusLine, worker.CutHeader, worker.CutHead} {
+		for path, status := range map[string]int{"/safe/1": 200, "/unsafe/1": 502, "/stream/1": 502, "/resumable/1": 200} {
+			t.Run(fmt.Sprint(path, " fault ", fault), func(t *testing.T) {
+				t.Parallel()
+				env := newTestEnv(t)
+				then := worker.Serve
+				if path == "/resumable/1" {
+					then = worker.Stream
+				}
+				behaviour := firstThen(fault, then)
+				env.worker("w-a", behaviour)
+				env.worker("w-b", behaviour)
+				env.configure(testRoutes(), []string{testKey}, 0)
+				n := env.start("i1")
+				got := n.call(t, http.MethodPost, path, "x", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, status, got.status)
+				switch {
+				case then == worker.Stream:
+					require.Equal(t, allEvents(), got.body)
+				case status == 200:
+					require.Equal(t, "POST "+path+" x", got.body)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a stream without a length or chunks that breaks off and looks complete,
 // and against a whole one that is taken for broken.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
