rollout, gateway: times between events are evidence against a version

Cause: only the time to the first event was compared, and it depends on the load of the targets, which is low for a new version with 7 in 100 of the requests.

Ruled out as the main cause: responses that have not begun. Of the requests on the new version few were waiting for their first event.

Change: the mean time between the events of a stream is recorded once, after eight events or at the end of a shorter stream, reported like the times of responses and judged by the same limits.

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -154,6 +154,24 @@
 	a.lastEventsAt = now
 }
 
+// Numbers of events after the first over which the mean time between a stream's events is
+// taken. It is recorded after gapEvents, so that a slow version shows early, or at the end
+// of a stream that has at least minGapEvents.
+const (
+	gapEvents    = 8
+	minGapEvents = 3
+)
+
+// observeMeanGap records the mean time between the stream's events, once.
+func (a *attempt) observeMeanGap() {
+	if a.meanGapObserved || a.events <= minGapEvents {
+		return
+	}
+	a.meanGapObserved = true
+	sinceFirst := time.Since(a.sent) - a.firstByte
+	a.gateway.settings.Rollouts.ObserveGap(a.req.service.Name, a.req.routeHash(), a.slot.target.Version, sinceFirst/time.Duration(a.events-1))
+}
+
 // observeFirst records the time to the first event or to the response.
 func (g *Gateway) observeFirst(a *attempt) {
 	if a.req.firstByte == 0 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -192,6 +192,8 @@
 
 	firstByte time.Duration
 	events    int
+	// meanGapObserved is set once the stream's mean time between events is recorded.
+	meanGapObserved bool
 	// lastEventsAt is when the last events were passed on.
 	lastEventsAt time.Time
 	// resumeAfter is the id of the last event of earlier attempts; resumed is set if
@@ -213,6 +215,7 @@
 	defer rollouts.Begin(service, version)()
 	defer func() {
 		if result == pb.Result_RESULT_SERVED || result == pb.Result_RESULT_FAILED || result == pb.Result_RESULT_TARGET_DIED {
+			a.observeMeanGap()
 			rollouts.ObserveEnd(service, a.req.routeHash(), version, result != pb.Result_RESULT_SERVED)
 		}
 	}()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,6 +102,9 @@
 		a.gateway.observeFirst(a)
 	}
 	a.events++
+	if a.events > gapEvents {
+		a.observeMeanGap()
+	}
 }
 
 // streamFailed classifies an interrupted stream. A resumable stream continues after
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -112,3 +112,29 @@
 		require.Equal(t, http.StatusOK, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
 	}
 }
+
+// Guards against a version that begins its streams as fast as the old one, generates
+// several times slower and is not stopped within its first 50 responses.
+func TestVersionWithSlowEventsIsStopped(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.worker("w-old", worker.Always(worker.Stream))
+	slow, err := worker.Start("w-new", worker.Always(worker.SlowStream))
+	require.NoError(t, err)
+	t.Cleanup(slow.Close)
+	env.registerVersion(slow, "ready", "v2")
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	n.tracker.SetOrders([]rollout.Order{{Service: "app", To: "v2", Duration: time.Hour, ID: 7}})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 150 {
+				n.call(t, http.MethodPost, "/stream/1", "x", nil)
+			}
+		})
+	}
+	callers.Wait()
+	require.False(t, n.tracker.Allowed("app", "v2"))
+	require.Less(t, len(slow.Runs()), 50)
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -50,6 +50,8 @@
 	LateExtra
 	// Pause responds like Full and asks for PauseSeconds without requests.
 	Pause
+	// SlowStream responds like Stream and makes longer pauses between the events.
+	SlowStream
 	// Leaving serves the request and states that the worker is about to stop.
 	Leaving
 	// RepeatRefusal sends the worker's last refusal once more and then serves the request;
@@ -77,6 +79,12 @@
 // Events is the number of events of a complete stream.
 const Events = 10
 
+// Pauses between the events of Stream and SlowStream.
+const (
+	eventPause     = time.Millisecond
+	slowEventPause = 8 * time.Millisecond
+)
+
 // Run records one request that the worker ran or rejected. DeadlineMs is -1 if the
 // request has no Deadline-Ms header; After is its Last-Event-Id.
 type Run struct {
@@ -260,7 +268,9 @@
 		w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n\r\n%s", r.Header.Get("Request-Id"), echo))
 		return false
 	case Stream, StreamCut:
-		return w.stream(conn, r, b == StreamCut)
+		return w.stream(conn, r, eventPause, b == StreamCut)
+	case SlowStream:
+		return w.stream(conn, r, slowEventPause, false)
 	case UnframedStream, UnframedStreamCut, UnframedStreamHead:
 		w.unframedStream(conn, r, b)
 		return false
@@ -317,13 +327,13 @@
 			return
 		}
 		w.writeRaw(conn, event)
-		time.Sleep(time.Millisecond)
+		time.Sleep(eventPause)
 	}
 }
 
 // stream sends the events that follow the request's Last-Event-Id. It reports
 // whether the connection stays open.
-func (w *Worker) stream(conn net.Conn, r *http.Request, cut bool) bool {
+func (w *Worker) stream(conn net.Conn, r *http.Request, pause time.Duration, cut bool) bool {
 	w.writeRaw(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 		r.Header.Get("Request-Id"), w.ID))
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -339,7 +349,7 @@
 		if cut && id > Events/2 {
 			return false
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(pause)
 	}
 	w.writeRaw(conn, "0\r\n\r\n")
 	return true
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -67,8 +67,11 @@
 
 // Evidence sums what all instances have observed on one route.
 type Evidence struct {
-	From, To           moves.Totals
+	From, To moves.Totals
+	// FromTimes and ToTimes are the times to the first event of a stream or to a response,
+	// FromGaps and ToGaps the mean times between the events of a stream.
 	FromTimes, ToTimes Times
+	FromGaps, ToGaps   Times
 }
 
 // Regressed reports whether the new version is worse on any route or on all routes
@@ -82,8 +85,8 @@
 		all.From.Add(e.From)
 		all.To.Add(e.To)
 	}
-	if s := compareTimes(routes); s.proved() {
-		return fmt.Sprintf("responses take %.1f times as long as those of the old version", s.ratio()), true
+	if times, proved := slower(routes, slowdown.proved); proved {
+		return "responses take " + times, true
 	}
 	return moves.TotalsRegressed(&all.From, &all.To, maxFailureIncrease, 0)
 }
@@ -112,18 +115,19 @@
 	}
 	fraction := in.Elapsed.Seconds() / in.Order.Duration.Seconds()
 	if in.Phase == Canary {
-		if s := compareTimes(in.Evidence); s.preventsShift() {
+		if times, prevented := slower(in.Evidence, slowdown.preventsShift); prevented {
 			if fraction < completionFraction {
 				return Canary, ""
 			}
-			return RolledBack, fmt.Sprintf("responses seem to take %.1f times as long as those of the old version", s.ratio())
+			return RolledBack, "responses seem to take " + times
 		}
 		var responses int64
 		for _, e := range in.Evidence {
 			responses += e.To.Requests
 		}
 		if in.Ready && fraction >= shiftFraction && responses >= minResponses {
-			return Shifted, fmt.Sprintf("%d responses show no regression; they take %.2f times as long", responses, compareTimes(in.Evidence).ratio())
+			return Shifted, fmt.Sprintf("%d responses show no regression; they take %.2f times as long, and %.2f times between events", responses,
+				compareTimes(in.Evidence, responseTimes).ratio(), compareTimes(in.Evidence, eventGaps).ratio())
 		}
 		return Canary, ""
 	}
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -18,7 +19,7 @@
 	slowdownSigma = 4
 	// minLogVariance is the minimum variance assumed for the logarithm of a response time.
 	minLogVariance = 0.25
-	// minTimes is the number of response times that each version needs on a route.
+	// minTimes is the number of times of each kind that each version needs on a route.
 	minTimes = 3
 )
 
@@ -51,19 +52,24 @@
 // to the old version's, with its standard error. Without evidence, the error is infinite.
 type slowdown struct{ log, standardError float64 }
 
-// hasTimes reports whether the route has enough response times of both versions.
-func (e *Evidence) hasTimes() bool {
-	return e.FromTimes.count >= minTimes && e.ToTimes.count >= minTimes
-}
+// timesOf selects one kind of times of both versions.
+type timesOf func(*Evidence) (from, to Times)
+
+// Kinds of times. Those to the first event depend on the load of the targets, which is low
+// for a new version with a small share of the requests; those between events hardly do.
+var (
+	responseTimes timesOf = func(e *Evidence) (Times, Times) { return e.FromTimes, e.ToTimes }
+	eventGaps     timesOf = func(e *Evidence) (Times, Times) { return e.FromGaps, e.ToGaps }
+)
 
-// compareTimes combines the routes on which both versions have response times, each
+// compareTimes combines the routes on which both versions have enough times, each
 // weighted by its precision.
-func compareTimes(routes map[uint32]*Evidence) slowdown {
+func compareTimes(routes map[uint32]*Evidence, of timesOf) slowdown {
 	deviations, degrees := 0.0, 0.0
 	for _, e := range routes {
-		if e.hasTimes() {
-			deviations += e.FromTimes.squaredDeviations() + e.ToTimes.squaredDeviations()
-			degrees += e.FromTimes.count + e.ToTimes.count - 2
+		if from, to := of(e); from.count >= minTimes && to.count >= minTimes {
+			deviations += from.squaredDeviations() + to.squaredDeviations()
+			degrees += from.count + to.count - 2
 		}
 	}
 	if degrees == 0 {
@@ -72,15 +78,26 @@
 	variance := max(minLogVariance, deviations/degrees)
 	weights, sum := 0.0, 0.0
 	for _, e := range routes {
-		if e.hasTimes() {
-			weight := 1 / (variance * (1/e.FromTimes.count + 1/e.ToTimes.count))
+		if from, to := of(e); from.count >= minTimes && to.count >= minTimes {
+			weight := 1 / (variance * (1/from.count + 1/to.count))
 			weights += weight
-			sum += weight * (e.ToTimes.mean() - e.FromTimes.mean())
+			sum += weight * (to.mean() - from.mean())
 		}
 	}
 	return slowdown{log: sum / weights, standardError: 1 / math.Sqrt(weights)}
 }
 
+// slower returns a description of the first kind of times for which the condition holds.
+func slower(routes map[uint32]*Evidence, holds func(slowdown) bool) (string, bool) {
+	if s := compareTimes(routes, responseTimes); holds(s) {
+		return fmt.Sprintf("%.1f times as long as those of the old version", s.ratio()), true
+	}
+	if s := compareTimes(routes, eventGaps); holds(s) {
+		return fmt.Sprintf("%.1f times as long between events as those of the old version", s.ratio()), true
+	}
+	return "", false
+}
+
 func (s slowdown) ratio() float64 { return math.Exp(s.log) }
 
 // preventsShift reports whether the estimate is too high for a shift.
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -40,6 +40,8 @@
 	// logarithms.
 	totalTime time.Duration
 	times     Times
+	// gaps sums the logarithms of the mean times between the events of a stream.
+	gaps Times
 }
 
 type peerCounts struct {
@@ -211,6 +213,11 @@
 	})
 }
 
+// ObserveGap records the mean time between the events of a stream of a version.
+func (t *Tracker) ObserveGap(service string, route uint32, version string, gap time.Duration) {
+	t.observe(service, route, version, func(r *responseCount) { r.gaps.add(gap) })
+}
+
 func (t *Tracker) observe(service string, route uint32, version string, record func(*responseCount)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -254,16 +261,13 @@
 	return &pb.AnswerCount{
 		Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds()), Timed: uint64(r.times.count),
 		TimeLogSum: uint64(r.times.logSum / logUnit), TimeLogSquareSum: uint64(r.times.logSquareSum / logUnit),
+		Gaps: uint64(r.gaps.count), GapLogSum: uint64(r.gaps.logSum / logUnit), GapLogSquareSum: uint64(r.gaps.logSquareSum / logUnit),
 	}
 }
 
-// decodeTimes returns the response times of a report.
-func decodeTimes(c *pb.AnswerCount) Times {
-	return Times{
-		count:        float64(c.GetTimed()),
-		logSum:       float64(c.GetTimeLogSum()) * logUnit,
-		logSquareSum: float64(c.GetTimeLogSquareSum()) * logUnit,
-	}
+// decodeTimes returns the times of a report.
+func decodeTimes(count, logSum, logSquareSum uint64) Times {
+	return Times{count: float64(count), logSum: float64(logSum) * logUnit, logSquareSum: float64(logSquareSum) * logUnit}
 }
 
 // SetPeer stores the counts reported by a peer.
@@ -303,14 +307,15 @@
 }
 
 func (e *Evidence) add(c *pb.VersionCount) {
-	addCounts(&e.From, &e.FromTimes, c.GetFrom())
-	addCounts(&e.To, &e.ToTimes, c.GetTo())
+	addCounts(&e.From, &e.FromTimes, &e.FromGaps, c.GetFrom())
+	addCounts(&e.To, &e.ToTimes, &e.ToGaps, c.GetTo())
 }
 
-func addCounts(totals *moves.Totals, times *Times, c *pb.AnswerCount) {
+func addCounts(totals *moves.Totals, times, gaps *Times, c *pb.AnswerCount) {
 	totals.AddResponses(int64(c.GetAnswers()), int64(c.GetFailures()))
 	totals.AddTimes(int64(c.GetTimed()), time.Duration(c.GetTimeMsSum())*time.Millisecond)
-	times.merge(decodeTimes(c))
+	times.merge(decodeTimes(c.GetTimed(), c.GetTimeLogSum(), c.GetTimeLogSquareSum()))
+	gaps.merge(decodeTimes(c.GetGaps(), c.GetGapLogSum(), c.GetGapLogSquareSum()))
 }
 
 // StopIfRegressed stops the new version on this instance if the evidence shows a regression,
