rollout: recent evidence shows a version that becomes slow later

What callers would see: a version that is good for some seconds and then several times slower gets all requests, because its earlier responses hide the later ones in the sums since the order.

Cause: evidence was only summed since the order.

Change: each instance keeps the fleet's sums of the last 4 s in steps of 0.5 s and judges the difference like the whole; it also prevents the shift.

What remains: a version that becomes slow after the shift (second 11 of 15) has already received more than its allowance.

--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -97,11 +97,10 @@
 	clock := i.store.Now()
 	next, reason := rollout.Canary, "order seen"
 	if status.Order.ID == order.ID && status.Phase != "" {
-		routes, running := i.tracker.Evidence(order)
 		_, ready := i.tracker.State(order)
 		next, reason = rollout.Next(rollout.Input{
 			Order: order, Phase: status.Phase, Elapsed: clock - status.StartedAt, InPhase: clock - status.PhaseStartedAt,
-			Evidence: routes, FromRunning: running, Ready: ready,
+			Observed: i.tracker.Observe(order), Ready: ready,
 		})
 		if next == status.Phase {
 			return
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -98,9 +98,7 @@
 	// Elapsed is the time since the order was first seen, InPhase the time since the
 	// current phase began.
 	Elapsed, InPhase time.Duration
-	Evidence         map[uint32]*Evidence
-	// FromRunning is the number of requests running on the old version.
-	FromRunning int
+	Observed         Observations
 	// Ready is set while a target of the new version accepts requests.
 	Ready bool
 }
@@ -110,29 +108,68 @@
 	if in.Phase.Ended() {
 		return in.Phase, ""
 	}
-	if reason, regressed := Regressed(in.Evidence); regressed {
+	if reason, regressed := in.Observed.regressed(); regressed {
 		return RolledBack, reason
 	}
 	fraction := in.Elapsed.Seconds() / in.Order.Duration.Seconds()
 	if in.Phase == Canary {
-		if times, prevented := slower(in.Evidence, slowdown.preventsShift); prevented {
-			if fraction < completionFraction {
-				return Canary, ""
-			}
-			return RolledBack, "responses seem to take " + times
+		if fraction < shiftFraction {
+			return Canary, ""
 		}
-		var responses int64
-		for _, e := range in.Evidence {
-			responses += e.To.Requests
-		}
-		if in.Ready && fraction >= shiftFraction && responses >= minResponses {
-			return Shifted, fmt.Sprintf("%d responses show no regression; they take %.2f times as long, and %.2f times between events", responses,
-				compareTimes(in.Evidence, responseTimes).ratio(), compareTimes(in.Evidence, eventGaps).ratio())
+		missing, sufficient := in.shiftable()
+		switch {
+		case sufficient:
+			return Shifted, in.Observed.summary()
+		case fraction >= completionFraction:
+			return RolledBack, missing
 		}
 		return Canary, ""
 	}
-	if in.InPhase >= propagationTime && (in.FromRunning == 0 || fraction >= completionFraction) {
-		return Done, fmt.Sprintf("%d requests left on the old version", in.FromRunning)
+	if in.InPhase >= propagationTime && (in.Observed.FromRunning == 0 || fraction >= completionFraction) {
+		return Done, fmt.Sprintf("%d requests left on the old version", in.Observed.FromRunning)
 	}
 	return Shifted, ""
 }
+
+// shiftable reports whether the evidence suffices to send all requests to the new version
+// and, if not, what is missing.
+func (in *Input) shiftable() (string, bool) {
+	if times, slow := slower(in.Observed.Routes, slowdown.preventsShift); slow {
+		return "responses seem to take " + times, false
+	}
+	if times, slow := slower(in.Observed.Recent, slowdown.preventsShift); slow {
+		return "recent responses seem to take " + times, false
+	}
+	if responses := in.Observed.responses(); responses < minResponses {
+		return fmt.Sprintf("%d of %d responses seen", responses, minResponses), false
+	}
+	if !in.Ready {
+		return "no target of the new version is ready", false
+	}
+	return "", true
+}
+
+// regressed reports whether the new version is worse since the order or recently, and why.
+func (o *Observations) regressed() (string, bool) {
+	if reason, regressed := Regressed(o.Routes); regressed {
+		return reason, true
+	}
+	if reason, regressed := Regressed(o.Recent); regressed {
+		return reason + ", recently", true
+	}
+	return "", false
+}
+
+// responses is the number of responses of the new version.
+func (o *Observations) responses() int64 {
+	var responses int64
+	for _, e := range o.Routes {
+		responses += e.To.Requests
+	}
+	return responses
+}
+
+func (o *Observations) summary() string {
+	return fmt.Sprintf("%d responses show no regression; they take %.2f times as long, and %.2f times between events", o.responses(),
+		compareTimes(o.Routes, responseTimes).ratio(), compareTimes(o.Routes, eventGaps).ratio())
+}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -14,6 +14,8 @@
 type Tracker struct {
 	// readySlots returns the number of ready slots of each version of a service.
 	readySlots func(service string) map[string]int
+	// now returns the current time.
+	now func() time.Time
 
 	mu    sync.Mutex
 	moves map[string]*move
@@ -29,6 +31,7 @@
 	stopReason  string
 	local       map[uint32]*versionCounts
 	fromRunning int
+	history     history
 }
 
 // versionCounts holds this instance's responses of one route by version.
@@ -51,7 +54,7 @@
 
 // NewTracker returns a tracker without moves.
 func NewTracker(readySlots func(service string) map[string]int) *Tracker {
-	return &Tracker{readySlots: readySlots, moves: make(map[string]*move), peers: make(map[string]peerCounts)}
+	return &Tracker{readySlots: readySlots, now: time.Now, moves: make(map[string]*move), peers: make(map[string]peerCounts)}
 }
 
 // SetOrders replaces the orders. A new order starts in phase Canary.
@@ -78,7 +81,7 @@
 		return
 	}
 	if phase == Shifted && m.phase != Shifted {
-		m.shiftedAt = time.Now()
+		m.shiftedAt = t.now()
 	}
 	m.phase = phase
 }
@@ -116,7 +119,7 @@
 	case m.stopReason != "" || m.phase == RolledBack || !newReady:
 		return from
 	}
-	share := m.share(time.Now())
+	share := m.share(t.now())
 	if share == 1 || (!retry && rand.Float64() < share) {
 		return m.order.To
 	}
@@ -182,7 +185,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
-	if !ok || m.phase.Ended() || version == m.order.To {
+	if !ok || m.phase.Ended() {
+		return func() {}
+	}
+	if version == m.order.To {
 		return func() {}
 	}
 	m.fromRunning++
@@ -225,16 +231,20 @@
 	if !ok || m.phase.Ended() {
 		return
 	}
+	record(m.counts(route, version))
+}
+
+// counts returns this instance's counts of a version on a route.
+func (m *move) counts(route uint32, version string) *responseCount {
 	c, ok := m.local[route]
 	if !ok {
 		c = &versionCounts{}
 		m.local[route] = c
 	}
 	if version == m.order.To {
-		record(&c.to)
-	} else {
-		record(&c.from)
+		return &c.to
 	}
+	return &c.from
 }
 
 // Report returns this instance's counts of the moves that have not ended.
@@ -279,31 +289,43 @@
 	}
 }
 
-// Evidence sums the counts of all instances for an order.
-func (t *Tracker) Evidence(order Order) (routes map[uint32]*Evidence, fromRunning int) {
+// Observations are what all instances have observed for an order.
+type Observations struct {
+	// Routes is the evidence on each route since the order, Recent that of the last
+	// recentTime, nil before that.
+	Routes, Recent map[uint32]*Evidence
+	// FromRunning is the number of requests running on the old version.
+	FromRunning int
+}
+
+// Observe sums the counts of all instances for an order.
+func (t *Tracker) Observe(order Order) Observations {
 	local := t.Report()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	routes = make(map[uint32]*Evidence)
+	o := Observations{Routes: make(map[uint32]*Evidence)}
 	add := func(counts []*pb.VersionCount) {
 		for _, c := range counts {
 			if c.GetOrder() != order.ID {
 				continue
 			}
-			e, ok := routes[c.GetRoute()]
+			e, ok := o.Routes[c.GetRoute()]
 			if !ok {
 				e = &Evidence{}
-				routes[c.GetRoute()] = e
+				o.Routes[c.GetRoute()] = e
 			}
 			e.add(c)
-			fromRunning += int(c.GetFromRunning())
+			o.FromRunning += int(c.GetFromRunning())
 		}
 	}
 	add(local)
 	for _, p := range t.peers {
 		add(p.counts)
 	}
-	return routes, fromRunning
+	if m, ok := t.moves[order.Service]; ok && m.order.ID == order.ID {
+		o.Recent = m.history.recent(t.now(), o.Routes)
+	}
+	return o
 }
 
 func (e *Evidence) add(c *pb.VersionCount) {
@@ -321,8 +343,8 @@
 // StopIfRegressed stops the new version on this instance if the evidence shows a regression,
 // without waiting for the fleet's decision. It returns the reason for a new stop.
 func (t *Tracker) StopIfRegressed(order Order) (string, bool) {
-	routes, _ := t.Evidence(order)
-	reason, regressed := Regressed(routes)
+	observed := t.Observe(order)
+	reason, regressed := observed.regressed()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[order.Service]
