rollout: the canary's share follows the rate of requests, the shift the error

Change: until 30 requests have been sent to the new version its share is raised to 10 requests a second, at most one half; the reports carry the number of requests sent. The shift is prevented by an estimate two standard errors above 1.25 instead of 1.25, and needs 6 responses instead of 8.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -212,7 +212,7 @@
 		result = pb.Result_RESULT_NOT_DISPATCHED
 		return outcome{undelivered: true, refusal: a.req.notSent("the version was stopped")}
 	}
-	defer rollouts.Begin(service, version)()
+	defer rollouts.Begin(service, a.req.routeHash(), version)()
 	defer func() {
 		if result == pb.Result_RESULT_SERVED || result == pb.Result_RESULT_FAILED || result == pb.Result_RESULT_TARGET_DIED {
 			a.observeMeanGap()
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -43,6 +43,15 @@
 	// CanaryShare is the new version's share of new requests. A bad version may receive
 	// at most a tenth of the requests; the share is lower to leave room for retries.
 	CanaryShare = 0.07
+	// Until initialRequests requests have been sent to the new version, its share is raised
+	// to initialRate requests a second, at most maxInitialShare, so that services with few
+	// requests see enough responses in time. The users allow a bad version 50 requests
+	// beyond the share.
+	initialRequests = 30
+	initialRate     = 10
+	maxInitialShare = 0.5
+	// minRateTime is the shortest time over which the rate of requests is estimated.
+	minRateTime = time.Second
 	// shiftFraction is the fraction of the duration after which all new requests go to
 	// the new version. Regressions may appear late, so the canary phase lasts as long
 	// as the remaining steps permit.
@@ -58,7 +67,7 @@
 	// propagationTime is the time allowed for all instances to apply the shift.
 	propagationTime = time.Second
 	// minResponses is the number of responses from the new version needed for the shift.
-	minResponses = 8
+	minResponses = 6
 	// maxFailureIncrease limits the increase of the failure ratio and maxSlowdown the
 	// ratio of the mean response times, both against the old version.
 	maxFailureIncrease = 0.04
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -14,6 +14,9 @@
 	// maxShiftSlowdown limits the estimated ratio with which all requests are shifted.
 	// A new version gets few requests before that and should be no slower than the old one.
 	maxShiftSlowdown = 1.25
+	// shiftSigma is the distance above maxShiftSlowdown in standard errors that prevents the
+	// shift. With few responses the estimate of a good version is above the limit too often.
+	shiftSigma = 2
 	// slowdownSigma is the distance from the limit in standard errors that proves a
 	// slowdown. It is high because the check is repeated.
 	slowdownSigma = 4
@@ -101,7 +104,9 @@
 func (s slowdown) ratio() float64 { return math.Exp(s.log) }
 
 // preventsShift reports whether the estimate is too high for a shift.
-func (s slowdown) preventsShift() bool { return s.log > math.Log(maxShiftSlowdown) }
+func (s slowdown) preventsShift() bool {
+	return s.log-math.Log(maxShiftSlowdown) > shiftSigma*s.standardError
+}
 
 // proved reports whether the slowdown is above the limit beyond doubt.
 func (s slowdown) proved() bool {
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -31,14 +31,19 @@
 	stopReason  string
 	local       map[uint32]*versionCounts
 	fromRunning int
-	history     history
+	// seenAt is when this instance learned of the order.
+	seenAt time.Time
+	// sent and sentToNew count the requests that all instances have sent since then, as far
+	// as this instance knows.
+	sent, sentToNew uint64
+	history         history
 }
 
 // versionCounts holds this instance's responses of one route by version.
 type versionCounts struct{ from, to responseCount }
 
 type responseCount struct {
-	responses, failures uint64
+	sent, responses, failures uint64
 	// totalTime sums the times to the first event or the response, and times their
 	// logarithms.
 	totalTime time.Duration
@@ -65,7 +70,7 @@
 	for _, o := range orders {
 		m, ok := t.moves[o.Service]
 		if !ok || m.order.ID != o.ID {
-			m = &move{order: o, phase: Canary, local: make(map[uint32]*versionCounts)}
+			m = &move{order: o, phase: Canary, seenAt: t.now(), local: make(map[uint32]*versionCounts)}
 		}
 		kept[o.Service] = m
 	}
@@ -146,13 +151,22 @@
 func (m *move) share(now time.Time) float64 {
 	switch {
 	case m.phase != Shifted:
-		return CanaryShare
+		return m.canaryShare(now)
 	case now.Sub(m.shiftedAt) < rampTime:
 		return rampShare
 	}
 	return 1
 }
 
+func (m *move) canaryShare(now time.Time) float64 {
+	elapsed := now.Sub(m.seenAt)
+	if m.sentToNew >= initialRequests || elapsed < minRateTime {
+		return CanaryShare
+	}
+	rate := float64(m.sent) / elapsed.Seconds()
+	return max(CanaryShare, min(initialRate/rate, maxInitialShare))
+}
+
 // noVersion matches no target. It keeps requests from a rolled-back version when
 // there are no targets of another version.
 const noVersion = "\x00none"
@@ -181,14 +195,17 @@
 
 // Begin records a send to a target of the version. The caller calls the returned
 // function when the request ends.
-func (t *Tracker) Begin(service, version string) func() {
+func (t *Tracker) Begin(service string, route uint32, version string) func() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
 	if !ok || m.phase.Ended() {
 		return func() {}
 	}
+	m.counts(route, version).sent++
+	m.sent++
 	if version == m.order.To {
+		m.sentToNew++
 		return func() {}
 	}
 	m.fromRunning++
@@ -269,7 +286,7 @@
 
 func (r responseCount) message() *pb.AnswerCount {
 	return &pb.AnswerCount{
-		Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds()), Timed: uint64(r.times.count),
+		Sent: r.sent, Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds()), Timed: uint64(r.times.count),
 		TimeLogSum: uint64(r.times.logSum / logUnit), TimeLogSquareSum: uint64(r.times.logSquareSum / logUnit),
 		Gaps: uint64(r.gaps.count), GapLogSum: uint64(r.gaps.logSum / logUnit), GapLogSquareSum: uint64(r.gaps.logSquareSum / logUnit),
 	}
@@ -304,6 +321,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := Observations{Routes: make(map[uint32]*Evidence)}
+	sent, sentToNew := uint64(0), uint64(0)
 	add := func(counts []*pb.VersionCount) {
 		for _, c := range counts {
 			if c.GetOrder() != order.ID {
@@ -316,6 +334,8 @@
 			}
 			e.add(c)
 			o.FromRunning += int(c.GetFromRunning())
+			sent += c.GetFrom().GetSent() + c.GetTo().GetSent()
+			sentToNew += c.GetTo().GetSent()
 		}
 	}
 	add(local)
@@ -323,6 +343,7 @@
 		add(p.counts)
 	}
 	if m, ok := t.moves[order.Service]; ok && m.order.ID == order.ID {
+		m.sent, m.sentToNew = sent, sentToNew
 		o.Recent = m.history.recent(t.now(), o.Routes)
 	}
 	return o
