rollout, internal/explain: evidence in the decision log, history of roll-outs in report

Operators could not tell from the logs how sure a decision on a version was or why an order waited: the reason had an estimate without its bounds and counts, and a waiting order logged nothing.

Change: the reason has the ratio, its bounds at two standard errors and the numbers of responses; the owner of an order logs once a second what the shift waits for; `basilloom report` prints the steps of all orders.

--- a/cmd/basilloom/report.go
+++ b/cmd/basilloom/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/basilloom/basilloom/internal/explain"
 )
@@ -40,7 +41,25 @@
 	if _, err := fmt.Fprintln(e.stdout); err != nil {
 		return err
 	}
-	return e.printTable(reasonRows(report))
+	if err := e.printTable(reasonRows(report)); err != nil || len(report.VersionOrders) == 0 {
+		return err
+	}
+	if _, err := fmt.Fprintln(e.stdout); err != nil {
+		return err
+	}
+	return e.printTable(versionOrderRows(report))
+}
+
+func versionOrderRows(report explain.Report) [][]string {
+	rows := [][]string{{"TIME", "SERVICE", "VERSION", "INSTANCE", "STEP", "REASON"}}
+	for _, l := range report.VersionOrders {
+		step := l.Phase
+		if step == "" {
+			step = strings.TrimPrefix(l.Message, "version order ")
+		}
+		rows = append(rows, []string{l.Time.Format("15:04:05.000"), l.Service, fmt.Sprint(l.Version), l.Instance, step, l.Reason})
+	}
+	return rows
 }
 
 func secondRows(report explain.Report) [][]string {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -43,6 +43,11 @@
 	Route      string    `json:"route,omitempty"`
 	Config     int64     `json:"config,omitempty"`
 	Group      string    `json:"group,omitempty"`
+	// Service, Version and Phase describe a step of a version order. Other lines have a
+	// number as version.
+	Service string `json:"service,omitempty"`
+	Version any    `json:"version,omitempty"`
+	Phase   string `json:"phase,omitempty"`
 	// Cause is the reason for the ejection of a target.
 	Cause string `json:"cause,omitempty"`
 	// Timeout, Elapsed, Queued and First are in milliseconds. Timeout is the
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -62,8 +63,18 @@
 	Seconds []Second      `json:"seconds"`
 	Reasons []ReasonCount `json:"reasons"`
 	Total   int           `json:"total"`
+	// VersionOrders are the steps of version orders by time: decisions, waits, and the first
+	// stop of each version by an instance.
+	VersionOrders []Line `json:"version_orders,omitempty"`
 }
 
+// Messages on version orders.
+const (
+	orderDecided = "version order phase decided"
+	orderWaits   = "version order waits"
+	orderStopped = "version order stopped by this instance"
+)
+
 // outcome classifies a request by the log line of its end.
 func (l Line) outcome() Outcome {
 	switch {
@@ -115,8 +126,31 @@
 		r.Count = n
 		report.Reasons = append(report.Reasons, r)
 	}
+	report.VersionOrders = versionOrders(lines)
 	slices.SortFunc(report.Reasons, func(a, b ReasonCount) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Status, b.Status), cmp.Compare(a.Reason, b.Reason))
 	})
 	return report
 }
+
+// versionOrders selects the steps of version orders.
+func versionOrders(lines []Line) []Line {
+	var steps []Line
+	for _, l := range lines {
+		if l.Message == orderDecided || l.Message == orderWaits || l.Message == orderStopped {
+			steps = append(steps, l)
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	type move struct{ service, version string }
+	stopped := make(map[move]bool)
+	return slices.DeleteFunc(steps, func(l Line) bool {
+		if l.Message != orderStopped {
+			return false
+		}
+		m := move{l.Service, fmt.Sprint(l.Version)}
+		again := stopped[m]
+		stopped[m] = true
+		return again
+	})
+}
--- a/internal/explain/report_test.go
+++ b/internal/explain/report_test.go
@@ -32,3 +32,25 @@
 	require.Contains(t, page.String(), "&lt;b&gt;broke")
 	require.NotContains(t, page.String(), "<b>broke")
 }
+
+// Guards against a roll-out whose history cannot be read from the logs.
+func TestSummarizeVersionOrders(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"ts":"2026-03-09T02:45:26Z","msg":"version order stopped by this instance","instance":"b","service":"s","version":"v2","reason":"slow"}
+{"ts":"2026-03-09T02:45:27Z","msg":"version order phase decided","instance":"a","service":"s","version":"v2","phase":"rolled back","reason":"slow"}
+{"ts":"2026-03-09T02:45:20Z","msg":"version order phase decided","instance":"a","service":"s","version":"v2","phase":"canary","reason":"order seen"}
+{"ts":"2026-03-09T02:45:25Z","msg":"version order waits","instance":"a","service":"s","version":"v2","reason":"3 of 6 responses seen"}
+{"ts":"2026-03-09T02:45:26.1Z","msg":"version order stopped by this instance","instance":"c","service":"s","version":"v2","reason":"slow"}
+{"ts":"2026-03-09T02:45:26.2Z","msg":"table copied from a peer","instance":"c","table":"op","version":12}
+`))
+	require.NoError(t, err)
+	var steps []string
+	for _, l := range Summarize(lines).VersionOrders {
+		require.Equal(t, "s", l.Service)
+		require.Equal(t, "v2", l.Version)
+		steps = append(steps, l.Instance+" "+l.Message+" "+l.Phase)
+	}
+	require.Equal(t, []string{
+		"a version order phase decided canary", "a version order waits ", "b version order stopped by this instance ",
+		"a version order phase decided rolled back",
+	}, steps)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,9 +75,11 @@
 	peerServer    *http.Server
 	crashes       *crashes
 	tracker       *rollout.Tracker
-	status        storage.Table // holds the status of version orders
-	metrics       *telemetry.Metrics
-	shuttingDown  atomic.Bool
+	// orderWaitLogged is when the last line on what a version order waits for was logged.
+	orderWaitLogged time.Time
+	status          storage.Table // holds the status of version orders
+	metrics         *telemetry.Metrics
+	shuttingDown    atomic.Bool
 	// incarnation distinguishes this start of the instance from earlier ones.
 	incarnation uint64
 
--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -20,6 +20,8 @@
 	// statusPeriod is the interval between reads of the status while an order is in
 	// progress.
 	statusPeriod = 250 * time.Millisecond
+	// waitLogPeriod is the interval between log lines on what an order waits for.
+	waitLogPeriod = time.Second
 )
 
 // applyOrders passes the operator's version orders to the tracker.
@@ -103,6 +105,7 @@
 			Observed: i.tracker.Observe(order), Ready: ready,
 		})
 		if next == status.Phase {
+			i.logOrderWait(order, reason)
 			return
 		}
 	} else {
@@ -120,3 +123,15 @@
 		i.tracker.SetPhase(order.Service, order.ID, next)
 	}
 }
+
+// logOrderWait logs what the next phase of an order waits for, at most once in
+// waitLogPeriod.
+func (i *Instance) logOrderWait(order rollout.Order, reason string) {
+	now := time.Now()
+	if reason == "" || now.Sub(i.orderWaitLogged) < waitLogPeriod {
+		return
+	}
+	i.orderWaitLogged = now
+	i.log.Info("version order waits", zap.String(field.Service, order.Service), zap.String(field.Version, order.To),
+		zap.Int64(field.Order, order.ID), zap.String(field.Reason, reason))
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -112,7 +112,8 @@
 	Ready bool
 }
 
-// Next returns the next phase and the reason, or the current phase.
+// Next returns the next phase and the reason, or the current phase and what the next one
+// waits for, if anything.
 func Next(in Input) (Phase, string) {
 	if in.Phase.Ended() {
 		return in.Phase, ""
@@ -132,7 +133,7 @@
 		case fraction >= completionFraction:
 			return RolledBack, missing
 		}
-		return Canary, ""
+		return Canary, missing
 	}
 	if in.InPhase >= propagationTime && (in.Observed.FromRunning == 0 || fraction >= completionFraction) {
 		return Done, fmt.Sprintf("%d requests left on the old version", in.Observed.FromRunning)
@@ -179,6 +180,6 @@
 }
 
 func (o *Observations) summary() string {
-	return fmt.Sprintf("%d responses show no regression; they take %.2f times as long, and %.2f times between events", o.responses(),
-		compareTimes(o.Routes, responseTimes).ratio(), compareTimes(o.Routes, eventGaps).ratio())
+	return fmt.Sprintf("%d responses show no regression; they take %v as long, and %v between events", o.responses(),
+		compareTimes(o.Routes, responseTimes), compareTimes(o.Routes, eventGaps))
 }
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -51,9 +51,13 @@
 // squaredDeviations is the sum of the squared distances from the mean.
 func (t Times) squaredDeviations() float64 { return t.logSquareSum - t.logSum*t.logSum/t.count }
 
-// slowdown is the estimated logarithm of the ratio of the new version's response times
-// to the old version's, with its standard error. Without evidence, the error is infinite.
-type slowdown struct{ log, standardError float64 }
+// slowdown is the estimated logarithm of the ratio of the new version's times to the old
+// version's, with its standard error. Without evidence, the error is infinite.
+type slowdown struct {
+	log, standardError float64
+	// from and to are the numbers of times of the old and the new version.
+	from, to float64
+}
 
 // timesOf selects one kind of times of both versions.
 type timesOf func(*Evidence) (from, to Times)
@@ -69,8 +73,11 @@
 // weighted by its precision.
 func compareTimes(routes map[uint32]*Evidence, of timesOf) slowdown {
 	deviations, degrees := 0.0, 0.0
+	fromCount, toCount := 0.0, 0.0
 	for _, e := range routes {
 		if from, to := of(e); from.count >= minTimes && to.count >= minTimes {
+			fromCount += from.count
+			toCount += to.count
 			deviations += from.squaredDeviations() + to.squaredDeviations()
 			degrees += from.count + to.count - 2
 		}
@@ -87,20 +94,29 @@
 			sum += weight * (to.mean() - from.mean())
 		}
 	}
-	return slowdown{log: sum / weights, standardError: 1 / math.Sqrt(weights)}
+	return slowdown{log: sum / weights, standardError: 1 / math.Sqrt(weights), from: fromCount, to: toCount}
 }
 
 // slower returns a description of the first kind of times for which the condition holds.
 func slower(routes map[uint32]*Evidence, holds func(slowdown) bool) (string, bool) {
 	if s := compareTimes(routes, responseTimes); holds(s) {
-		return fmt.Sprintf("%.1f times as long as those of the old version", s.ratio()), true
+		return s.String() + " as long as those of the old version", true
 	}
 	if s := compareTimes(routes, eventGaps); holds(s) {
-		return fmt.Sprintf("%.1f times as long between events as those of the old version", s.ratio()), true
+		return s.String() + " as long between events as those of the old version", true
 	}
 	return "", false
 }
 
+// String returns the ratio with its bounds at two standard errors and the numbers of times.
+func (s slowdown) String() string {
+	if s.to == 0 {
+		return "an unknown number of times"
+	}
+	spread := math.Exp(2 * s.standardError)
+	return fmt.Sprintf("%.2f times (%.2f to %.2f, %.0f responses against %.0f)", s.ratio(), s.ratio()/spread, s.ratio()*spread, s.to, s.from)
+}
+
 func (s slowdown) ratio() float64 { return math.Exp(s.log) }
 
 // preventsShift reports whether the estimate is too high for a shift.
