rollout: a few responses prove no slowdown; begun responses count for the shift

Of 1,000 simulated moves of a good version at 3 requests/s two were rolled back: one with 3 responses on each side, whose ratio of 13.9 was called proved (the standard error is itself uncertain then), one because 5 of 6 responses had ended in time.

The test's names have no slash, which -run takes for a level.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -170,11 +170,11 @@
 	return "", false
 }
 
-// responses is the number of responses of the new version.
+// responses is the number of responses of the new version that have begun or failed.
 func (o *Observations) responses() int64 {
 	var responses int64
 	for _, e := range o.Routes {
-		responses += e.To.Requests
+		responses += max(e.To.Requests, int64(e.ToTimes.count)+e.To.Failures)
 	}
 	return responses
 }
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -204,7 +204,7 @@
 		{9, 100, 4, 5 * time.Second, true}, {84, 300, 4, 5 * time.Second, true},
 		{9, 100, 4, 11 * time.Second, false}, {84, 300, 4, 11 * time.Second, false},
 	} {
-		name := fmt.Sprintf("%d instances, %g requests/s, %g times slower from %v", c.instances, c.rate, c.slowdown, c.badFrom)
+		name := fmt.Sprintf("%d instances, %g requests per second, %g times slower from %v", c.instances, c.rate, c.slowdown, c.badFrom)
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			runs := *simulatedMoves
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -20,6 +20,9 @@
 	// slowdownSigma is the distance from the limit in standard errors that proves a
 	// slowdown. It is high because the check is repeated.
 	slowdownSigma = 4
+	// minProofTimes is the number of times of each version needed to prove a slowdown. The
+	// standard error itself is uncertain with fewer.
+	minProofTimes = 8
 	// minLogVariance is the minimum variance assumed for the logarithm of a response time.
 	minLogVariance = 0.25
 	// minTimes is the number of times of each kind that each version needs on a route.
@@ -126,5 +129,5 @@
 
 // proved reports whether the slowdown is above the limit beyond doubt.
 func (s slowdown) proved() bool {
-	return s.log-math.Log(maxOverallSlowdown) > slowdownSigma*s.standardError
+	return min(s.from, s.to) >= minProofTimes && s.log-math.Log(maxOverallSlowdown) > slowdownSigma*s.standardError
 }
