scheduler: sound requests with the same content are not quarantined

Cause: the quarantine kept the crashes of a content after a success and counted the next one on top. A request that crashes targets is not served in between; requests of one content that are served are not its cause. This is the same class as the crashes of shared prompt parts, which already counted since the last begin.

Change: crashes count since the content was last served, and entries between instances carry that count.

--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -12,8 +12,8 @@
 	SuspectDuration = 10 * time.Minute
 	// QuarantineDuration is how long a quarantined fingerprint is refused.
 	QuarantineDuration = 10 * time.Minute
-	// QuarantineCrashes is the number of different crashed targets that
-	// quarantines a suspect.
+	// QuarantineCrashes is the number of different crashed targets, without a success in
+	// between, that quarantines a suspect.
 	QuarantineCrashes = 2
 	// maxQuarantineRecords bounds the memory. A new record replaces the one that
 	// expires first.
@@ -42,13 +42,15 @@
 	ValidFor    time.Duration
 	// CrashedTargets lists the targets that crashed while they ran the request.
 	CrashedTargets []string
+	// Crashes counts the crashes since the request was last served; 0 stands for all of
+	// CrashedTargets.
+	Crashes int
 	// Begun is set if the request had begun to receive its response on each of them.
 	Begun bool
 	// Part is set if Fingerprint identifies a shared part of prompts. Crashes then counts
 	// the crashes since a request with the part last began, and Companions are other parts
 	// of the prompt of the last one.
 	Part       bool
-	Crashes    int
 	Companions []uint64
 }
 
@@ -61,14 +63,16 @@
 }
 
 type quarantineRecord struct {
+	// crashed lists the crashed targets, including those before the last success, so that
+	// a late entry from a peer does not count again.
 	crashed []string
+	// crashes counts the crashes since the request was last served. Sound requests with the
+	// same content are served in between, a request that crashes targets is not.
+	crashes int
 	until   time.Time
-	// cleared marks a suspect that was served. Its crashes are kept, so that a
-	// late entry from a peer does not make it a suspect again.
-	cleared bool
-	// begun is set if the request had begun to receive its response before each crash. A
-	// request that crashes targets mostly does so before, so one such crash makes no
-	// suspect.
+	// begun is set if the request had begun to receive its response before each of these
+	// crashes. A request that crashes targets mostly does so before, so one such crash
+	// makes no suspect.
 	begun bool
 }
 
@@ -89,7 +93,7 @@
 // stays quarantined.
 func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) {
 	if r, ok := q.records[fingerprint]; ok && r.verdict(now) != VerdictQuarantined {
-		r.cleared = true
+		r.crashes = 0
 	}
 }
 
@@ -122,11 +126,11 @@
 func (q *Quarantine) Entries(now time.Time) []QuarantineEntry {
 	entries := q.partEntries(now)
 	for fingerprint, r := range q.records {
-		if r.cleared || !now.Before(r.until) {
+		if r.crashes == 0 || !now.Before(r.until) {
 			continue
 		}
 		entries = append(entries, QuarantineEntry{
-			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed), Begun: r.begun,
+			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed), Crashes: r.crashes, Begun: r.begun,
 		})
 	}
 	slices.SortFunc(entries, func(a, b QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -157,24 +161,28 @@
 	r, ok := q.records[e.Fingerprint]
 	if !ok || !now.Before(r.until) {
 		q.evictIfFull(now)
-		r = &quarantineRecord{until: now.Add(e.ValidFor), begun: true}
+		r = &quarantineRecord{}
 		q.records[e.Fingerprint] = r
 	}
-	changed := false
+	unseen := 0
 	for _, target := range e.CrashedTargets {
-		if slices.Contains(r.crashed, target) {
-			continue
+		if !slices.Contains(r.crashed, target) {
+			r.crashed = append(r.crashed, target)
+			unseen++
 		}
-		r.crashed = append(r.crashed, target)
-		changed = true
 	}
-	if changed {
-		r.cleared = false
-		r.begun = r.begun && e.Begun
-		slices.Sort(r.crashed)
-		r.until = later(r.until, now.Add(e.ValidFor))
+	if unseen == 0 {
+		return false
 	}
-	return changed
+	r.begun = e.Begun && (r.begun || r.crashes == 0)
+	if served := e.Crashes > 0 && e.Crashes < len(e.CrashedTargets); served {
+		r.crashes = max(r.crashes, min(r.crashes+unseen, e.Crashes))
+	} else {
+		r.crashes += unseen
+	}
+	slices.Sort(r.crashed)
+	r.until = later(r.until, now.Add(e.ValidFor))
+	return true
 }
 
 func (q *Quarantine) evictIfFull(now time.Time) {
@@ -199,9 +207,9 @@
 	switch {
 	case !now.Before(r.until):
 		return VerdictClean
-	case len(r.crashed) >= QuarantineCrashes:
+	case r.crashes >= QuarantineCrashes:
 		return VerdictQuarantined
-	case r.cleared || r.begun:
+	case r.crashes == 0 || r.begun:
 		return VerdictClean
 	}
 	return VerdictSuspect
