--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -161,6 +161,19 @@
 	}
 }
 
+// Reset stops listening and resets all connections, so that a response without a length or
+// chunks does not look complete.
+func (w *Worker) Reset() {
+	w.mu.Lock()
+	for c := range w.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a connection that is closed
+		}
+	}
+	w.mu.Unlock()
+	w.Close()
+}
+
 func (w *Worker) accept() {
 	for {
 		conn, err := w.Listener.Accept()
