gateway: a leaving target stays excluded while its registry entry is missing

What callers would see: requests to a target that has stated that it is leaving (DRAIN), after its registry entry has lapsed and returned, for instance with a store outage.

Cause: the exclusion was deleted with the target's entry, and the entry of the same start was then taken for a new target. The same holds for a target that has asked for a pause (BUDGET).

Change: an exclusion ends with its time or with a new start only. TestLeavingTargetStaysExcludedWithoutItsEntry failed before (21 requests reached the target instead of 1).

--- a/gateway/exclusions.go
+++ b/gateway/exclusions.go
@@ -47,18 +47,20 @@
 	return ok && x.startedAtUnixMilli == target.StartedAtUnixMilli && now.Before(x.until)
 }
 
-// ids returns the sorted ids of the excluded targets among those that groups has.
+// ids returns the sorted ids of the excluded targets among those that groups has. A target
+// whose registry entry has gone stays excluded, because the entry may only have lapsed.
 func (e *exclusions) ids(groups *Groups, now time.Time) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var ids []string
 	for id, x := range e.targets {
 		target, known := groups.Target(id)
-		if !known || target.StartedAtUnixMilli != x.startedAtUnixMilli || !now.Before(x.until) {
+		switch {
+		case !now.Before(x.until), known && target.StartedAtUnixMilli != x.startedAtUnixMilli:
 			delete(e.targets, id)
-			continue
+		case known:
+			ids = append(ids, id)
 		}
-		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	return ids
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -171,7 +171,7 @@
 const maxUndelivered = 4
 
 // leavingTime is how long a target that is leaving is excluded. The exclusion ends earlier
-// with the target's entry in the registry.
+// when a new start of the target is registered.
 const leavingTime = time.Hour
 
 // exclude stops sends to a target for a time.
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -309,6 +309,34 @@
 	}
 }
 
+// Guards against requests to a leaving target whose registry entry lapses and returns.
+func TestLeavingTargetStaysExcludedWithoutItsEntry(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	a := env.worker("w-a", firstThen(worker.Leaving, worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+	b := env.worker("w-b", worker.Always(worker.Serve))
+	known := func(id string) func() bool {
+		return func() bool {
+			_, known := n.groups.Target(id)
+			return known
+		}
+	}
+	require.Eventually(t, known("w-b"), applyTime, 5*time.Millisecond)
+	env.store.Delete(platform.TableTargets, "w-a")
+	require.Eventually(t, func() bool { return !known("w-a")() }, applyTime, 5*time.Millisecond)
+	require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+	env.register(a, "ready")
+	require.Eventually(t, known("w-a"), applyTime, 5*time.Millisecond)
+	for range 20 {
+		require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", nil).status)
+	}
+	require.Equal(t, 1, executed(a))
+	require.Equal(t, 21, executed(b))
+}
+
 // Guards against workers that continue after the caller has disconnected.
 func TestCallerDisconnectCancelsRequest(t *testing.T) {
 	t.Parallel()
