scheduler: no request is cancelled on a target that the waiting one excludes

What callers would see: a running request of a lower tier is cancelled although the freed slot cannot be used, and the waiting one is refused all the same.

Cause: the search for a request to cancel compared Avoid only, not Excluded, which was added with pauses of targets. Found by looking for the other uses of Avoid.

--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -318,6 +318,16 @@
 		require.Empty(t, g.Tick(late), "not for an equal or lower tier")
 		require.IsType(t, Refusal{}, g.Tick(late.Add(200 * time.Millisecond))[0])
 	})
+	t.Run("not on an excluded target", func(t *testing.T) {
+		g := group(10)
+		require.Empty(t, g.Submit(t0, testTicket(10, func(t *Ticket) {
+			soon(0)(t)
+			t.Excluded = []string{"x"}
+		})))
+		for _, d := range g.Tick(t0.Add(1750 * time.Millisecond)) {
+			require.IsType(t, Refusal{}, d)
+		}
+	})
 	t.Run("before a full queue sheds", func(t *testing.T) {
 		g := group(1)
 		require.Empty(t, g.Submit(t0, testTicket(10, onTier(2))))
