broker, scheduler: a waiting request may use a target again after its pause

What callers would see: requests that arrive while all targets of a service have asked for a pause (503 with Retry-After) wait and are refused at the end of their wait, although the targets accept requests again.

Cause: a ticket named the excluded targets as of its submission, and they stayed excluded for as long as it waited.

Change: a ticket carries the remaining time of each exclusion, and the scheduler compares it with the current time. Tickets of instances without the new field keep their exclusions as before.

TestRequestWaitsForTheEndOfAPause failed before (503 after the whole wait, plain service and model engine). TestExcludedTargetIsUsedAfterItsTime covers the scheduler alone.

--- a/broker/client.go
+++ b/broker/client.go
@@ -210,6 +210,9 @@
 	if m.GetFinishMs() != 0 {
 		m.FinishMs = max(1, m.GetFinishMs()-now.Sub(call.submitted).Milliseconds())
 	}
+	for i := range m.GetExcludedMs() {
+		m.ExcludedMs[i] -= now.Sub(call.submitted).Milliseconds()
+	}
 	return m
 }
 
--- a/broker/convert.go
+++ b/broker/convert.go
@@ -29,7 +29,7 @@
 		Cancellable:  m.GetCancellable(),
 		Idempotent:   m.GetIdempotent(),
 		Avoid:        m.GetAvoid(),
-		Excluded:     m.GetExcluded(),
+		Excluded:     exclusions(now, m),
 	}
 }
 
@@ -106,3 +106,17 @@
 		return scheduler.TicketID{}, false
 	}
 }
+
+// exclusions returns the targets that the ticket must not use and until when. An instance
+// of an earlier version does not send the times; its exclusions last as long as the ticket.
+func exclusions(now time.Time, m *pb.Ticket) []scheduler.Exclusion {
+	var excluded []scheduler.Exclusion
+	for i, target := range m.GetExcluded() {
+		remaining := time.Hour
+		if i < len(m.GetExcludedMs()) {
+			remaining = time.Duration(m.GetExcludedMs()[i]) * time.Millisecond
+		}
+		excluded = append(excluded, scheduler.Exclusion{Target: target, Until: now.Add(remaining)})
+	}
+	return excluded
+}
--- a/gateway/exclusions.go
+++ b/gateway/exclusions.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"time"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/routing"
 )
 
@@ -47,21 +47,20 @@
 	return ok && x.startedAtUnixMilli == target.StartedAtUnixMilli && now.Before(x.until)
 }
 
-// ids returns the sorted ids of the excluded targets among those that groups has. A target
-// whose registry entry has gone stays excluded, because the entry may only have lapsed.
-func (e *exclusions) ids(groups *Groups, now time.Time) []string {
+// setOn sets the excluded targets among those that groups has on a ticket. A target whose
+// registry entry has gone stays excluded, because the entry may only have lapsed.
+func (e *exclusions) setOn(ticket *pb.Ticket, groups *Groups, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var ids []string
+	ticket.Excluded, ticket.ExcludedMs = nil, nil
 	for id, x := range e.targets {
 		target, known := groups.Target(id)
 		switch {
 		case !now.Before(x.until), known && target.StartedAtUnixMilli != x.startedAtUnixMilli:
 			delete(e.targets, id)
 		case known:
-			ids = append(ids, id)
+			ticket.Excluded = append(ticket.Excluded, id)
+			ticket.ExcludedMs = append(ticket.ExcludedMs, x.until.Sub(now).Milliseconds()+1)
 		}
 	}
-	slices.Sort(ids)
-	return ids
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -86,7 +86,7 @@
 // acquire waits for a slot. The error is a *RefusedError or the context's cause.
 func (p *Placer) acquire(ctx context.Context, service *routing.Service, ticket *pb.Ticket, deadline time.Time) (*slot, error) {
 	for range maxExcludedGrants {
-		ticket.Excluded = p.Excluded.ids(p.Groups, time.Now())
+		p.Excluded.setOn(ticket, p.Groups, time.Now())
 		s, err := p.acquireOnce(ctx, service, ticket, deadline)
 		if !errors.Is(err, errTargetExcluded) {
 			return s, err
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -238,6 +238,33 @@
 	require.Equal(t, 20, executed(b))
 }
 
+// Guards against requests that wait until their timeout because the only target asked for
+// a pause when they arrived.
+func TestRequestWaitsForTheEndOfAPause(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		t.Run(fmt.Sprint("engine ", engine), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.engine = engine
+			a := env.worker("w-a", firstThen(worker.Pause, worker.Serve))
+			routes := testRoutes()
+			routes[0].TimeoutMs, routes[0].TargetLatencyMs = 6000, 4000
+			env.configure(routes, []string{testKey}, 0)
+			n := env.start("i1")
+			patient := map[string]string{"Deadline-Ms": "6000"}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _, _ = n.try(ctx, http.MethodGet, "/safe/1", "", patient) }()
+			require.Eventually(t, func() bool { return len(a.Runs()) == 1 }, applyTime, time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(t, 200, n.call(t, http.MethodGet, "/safe/1", "", patient).status)
+			runs := a.Runs()
+			require.Len(t, runs, 2)
+			require.InDelta(t, worker.PauseSeconds, runs[1].At.Sub(runs[0].At).Seconds(), 0.5)
+		})
+	}
+}
+
 // Guards against requests to a target that has asked this instance for a pause, and
 // against a target that is not used again after it.
 func TestTargetThatAsksForAPauseGetsNoRequests(t *testing.T) {
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -101,7 +101,7 @@
 	// According to the estimates, no target can meet the deadline any more.
 	late := w.latest.Before(now)
 	consider := func(s *targetState) {
-		if avoids(&w.ticket, s) {
+		if avoids(now, &w.ticket, s) {
 			return
 		}
 		e := g.estimate(now, &w.ticket, s)
@@ -138,7 +138,7 @@
 func (g *Group) finishesElsewhere(now time.Time, w *waiting) bool {
 	remaining := w.ticket.Finish.Sub(now).Seconds()
 	for _, s := range w.class.set.members {
-		if s.health.state != HealthHealthy || s.Leaving || avoids(&w.ticket, s) {
+		if s.health.state != HealthHealthy || s.Leaving || avoids(now, &w.ticket, s) {
 			continue
 		}
 		whole := s.speed.firstTokenSeconds(w.ticket.PromptTokens) + s.speed.decodeSeconds(w.ticket.OutputTokens, s.limiter.limit())
@@ -169,7 +169,7 @@
 	}
 	found := false
 	g.eachCandidate(w, w.class.set.members, func(s *targetState) {
-		if s.Region != w.ticket.Region || !s.backlogged(now) || !s.acceptsRequests(now) || avoids(&w.ticket, s) {
+		if s.Region != w.ticket.Region || !s.backlogged(now) || !s.acceptsRequests(now) || avoids(now, &w.ticket, s) {
 			return
 		}
 		e := g.estimate(now, &w.ticket, s)
@@ -253,6 +253,7 @@
 	return false
 }
 
-func avoids(t *Ticket, s *targetState) bool {
-	return slices.Contains(t.Avoid, s.Name) || slices.Contains(t.Excluded, s.Name)
+func avoids(now time.Time, t *Ticket, s *targetState) bool {
+	return slices.Contains(t.Avoid, s.Name) ||
+		slices.ContainsFunc(t.Excluded, func(x Exclusion) bool { return x.Target == s.Name && now.Before(x.Until) })
 }
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -200,17 +200,17 @@
 		return g.grant(now, w, s, best), true
 	}
 	if len(idle) == 0 && g.reservedTarget == nil {
-		g.reserve(w)
+		g.reserve(now, w)
 	}
 	return nil, false
 }
 
 // reserve reserves the target that is expected to be idle first; it then drains
 // for the suspect. A target that would not be idle in time is not reserved.
-func (g *Group) reserve(w *waiting) {
+func (g *Group) reserve(now time.Time, w *waiting) {
 	var first *targetState
 	for _, s := range w.class.set.members {
-		if s.health.state != HealthHealthy || s.exclusive || avoids(&w.ticket, s) || s.busyUntil.After(w.latest) {
+		if s.health.state != HealthHealthy || s.exclusive || avoids(now, &w.ticket, s) || s.busyUntil.After(w.latest) {
 			continue
 		}
 		if first == nil || s.busyUntil.Before(first.busyUntil) {
@@ -314,7 +314,7 @@
 
 func (g *Group) isProbe(now time.Time, w *waiting, s *targetState, lowest Rank) bool {
 	t := &w.ticket
-	if !s.health.mayProbe(now, t, lowest) || !s.hasVersion(t.Version) || avoids(t, s) {
+	if !s.health.mayProbe(now, t, lowest) || !s.hasVersion(t.Version) || avoids(now, t, s) {
 		return false
 	}
 	verdict, _ := g.verdict(now, t)
--- a/scheduler/group_test.go
+++ b/scheduler/group_test.go
@@ -284,6 +284,18 @@
 	require.Len(t, g.Submit(t0, testTicket(2, soon)), 1, "the tier needs every slot")
 }
 
+// Guards against a ticket that waits until its deadline for a target that it excluded for
+// a shorter time.
+func TestExcludedTargetIsUsedAfterItsTime(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 4, PrefillTokensPerSecond: 1000, DecodeTokensPerSecond: 50})
+	until := t0.Add(time.Second)
+	require.Empty(t, g.Submit(t0, testTicket(1, func(t *Ticket) {
+		t.Deadline, t.Excluded = t0.Add(5*time.Second), []Exclusion{{Target: "x", Until: until}}
+	})))
+	require.Empty(t, g.Tick(until.Add(-time.Millisecond)))
+	require.Equal(t, "x", g.Tick(until)[0].(Grant).Target)
+}
+
 // Guards against a cancellation that does not help a higher ticket, and against
 // cancelling a request other than the newest of the lowest tier.
 func TestCancellationIsTheLastResort(t *testing.T) {
@@ -322,7 +334,7 @@
 		g := group(10)
 		require.Empty(t, g.Submit(t0, testTicket(10, func(t *Ticket) {
 			soon(0)(t)
-			t.Excluded = []string{"x"}
+			t.Excluded = []Exclusion{{Target: "x", Until: t0.Add(time.Minute)}}
 		})))
 		for _, d := range g.Tick(t0.Add(1750 * time.Millisecond)) {
 			require.IsType(t, Refusal{}, d)
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -52,7 +52,13 @@
 	Avoid []string
 	// Excluded lists targets to which the entry must not send for a time. They have not
 	// failed.
-	Excluded []string
+	Excluded []Exclusion
+}
+
+// Exclusion is a target to which an entry must not send until a time.
+type Exclusion struct {
+	Target string
+	Until  time.Time
 }
 
 // Target describes a back end of the group. Speeds are initial estimates that
