evidence: moves and rollout compare versions with one package

Cause: version moves were judged twice. moves compared means with a variance between cells, because its counters had no squares; rollout took that verdict for failures and means and had its own sums of logarithms for times.

Change: package evidence has the totals of a version, the sums of logarithms of its times, the estimate of a slowdown with its error, and the verdict (proved regression, estimate beyond a limit). moves keeps windows, steps and phases; rollout keeps orders, shares and recent evidence.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -241,8 +241,7 @@
 func (r *run) sample(failed bool) Sample {
 	s := Sample{Route: r.req.route.GetName(), Version: r.req.version, Failed: failed, FirstToken: r.firstToken}
 	if r.tokens > 1 {
-		s.Intervals = r.tokens - 1
-		s.TokenInterval = (time.Since(r.started) - r.firstToken) / time.Duration(s.Intervals)
+		s.TokenInterval = (time.Since(r.started) - r.firstToken) / time.Duration(r.tokens-1)
 	}
 	return s
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,11 +23,9 @@
 	Version string
 	Failed  bool
 	// FirstToken is measured from the dispatch. TokenInterval is the mean time
-	// between two tokens, 0 if there are fewer than two; Intervals is the number of
-	// intervals that it averages.
+	// between two tokens, 0 if there are fewer than two.
 	FirstToken    time.Duration
 	TokenInterval time.Duration
-	Intervals     int
 }
 
 // Versions chooses target versions while version moves are in progress.
--- a/internal/daemon/moves.go
+++ b/internal/daemon/moves.go
@@ -37,7 +37,6 @@
 		Failed:        s.Failed,
 		FirstToken:    s.FirstToken,
 		TokenInterval: s.TokenInterval,
-		Intervals:     s.Intervals,
 	})
 }
 
@@ -69,7 +68,7 @@
 			d.tracker.Tick()
 			window := now.Unix() / int64(membership.EvidenceWindow/time.Second)
 			for _, c := range d.tracker.Counters(window-1, false) {
-				d.members.AddEvidence(toEvidence(c))
+				d.members.AddEvidence(membership.EvidenceFrom(c))
 			}
 		}
 	}
@@ -88,37 +87,12 @@
 	counters := make([]*pb.EvidenceCounter, 0, len(facts.Evidence))
 	for _, e := range facts.Evidence {
 		if e.Instance != d.self.Name {
-			counters = append(counters, toCounter(e))
+			counters = append(counters, membership.EvidenceMessage(e))
 		}
 	}
 	d.tracker.Merge(counters)
 }
 
-func toEvidence(c *pb.EvidenceCounter) membership.Evidence {
-	return membership.Evidence{
-		EvidenceKey: membership.EvidenceKey{
-			Move: c.GetMove(), Version: c.GetVersion(), Instance: c.GetInstance(),
-			Incarnation: c.GetIncarnation(), Window: c.GetWindow(),
-		},
-		Requests:           c.GetRequests(),
-		Failures:           c.GetFailures(),
-		FirstTokenMsSum:    c.GetFirstTokenMsSum(),
-		TokenIntervalUsSum: c.GetTokenIntervalUsSum(),
-		TokenIntervals:     c.GetTokenIntervals(),
-	}
-}
-
-func toCounter(e membership.Evidence) *pb.EvidenceCounter {
-	return &pb.EvidenceCounter{
-		Move: e.Move, Version: e.Version, Instance: e.Instance, Incarnation: e.Incarnation, Window: e.Window,
-		Requests:           e.Requests,
-		Failures:           e.Failures,
-		FirstTokenMsSum:    e.FirstTokenMsSum,
-		TokenIntervalUsSum: e.TokenIntervalUsSum,
-		TokenIntervals:     e.TokenIntervals,
-	}
-}
-
 // managedEngines implements the controller's management calls to targets.
 type managedEngines struct {
 	client *engine.Client
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -76,7 +76,7 @@
 	for _, m := range members {
 		for _, version := range []string{"v1", "v2"} {
 			key := EvidenceKey{"move-1", version, m.self.Name, m.self.Incarnation, window}
-			m.AddEvidence(Evidence{EvidenceKey: key, Requests: 70, Failures: 1, FirstTokenMsSum: 9000, TokenIntervalUsSum: 80000, TokenIntervals: 3000})
+			m.AddEvidence(Evidence{EvidenceKey: key, Requests: 70, Failures: 1, FirstToken: TimeSums{69, 390_000, 2_200_000}, TokenInterval: TimeSums{69, 220_000, 710_000}})
 		}
 	}
 }
--- a/membership/facts.go
+++ b/membership/facts.go
@@ -72,13 +72,15 @@
 // them.
 type Evidence struct {
 	EvidenceKey
-	Requests           int64
-	Failures           int64
-	FirstTokenMsSum    int64
-	TokenIntervalUsSum int64
-	TokenIntervals     int64
+	Requests      int64
+	Failures      int64
+	FirstToken    TimeSums
+	TokenInterval TimeSums
 }
 
+// TimeSums sums times by their logarithms. The unit of the sums is that of messages.
+type TimeSums struct{ Count, LogSum, LogSquareSum int64 }
+
 // boundedSet is a map whose values only grow under merge. Beyond its limit it
 // keeps the values of highest rank. Ranks never fall when values grow, so the
 // result does not depend on the order of merges.
@@ -260,12 +262,15 @@
 func joinEvidence(a, b Evidence) Evidence {
 	a.Requests = max(a.Requests, b.Requests)
 	a.Failures = max(a.Failures, b.Failures)
-	a.FirstTokenMsSum = max(a.FirstTokenMsSum, b.FirstTokenMsSum)
-	a.TokenIntervalUsSum = max(a.TokenIntervalUsSum, b.TokenIntervalUsSum)
-	a.TokenIntervals = max(a.TokenIntervals, b.TokenIntervals)
+	a.FirstToken = joinTimes(a.FirstToken, b.FirstToken)
+	a.TokenInterval = joinTimes(a.TokenInterval, b.TokenInterval)
 	return a
 }
 
+func joinTimes(a, b TimeSums) TimeSums {
+	return TimeSums{max(a.Count, b.Count), max(a.LogSum, b.LogSum), max(a.LogSquareSum, b.LogSquareSum)}
+}
+
 func rankEvidence(a, b Evidence) int {
 	return cmp.Or(
 		cmp.Compare(a.Window, b.Window),
--- a/membership/facts_test.go
+++ b/membership/facts_test.go
@@ -29,7 +29,7 @@
 		default:
 			key := EvidenceKey{Move: name, Version: "v", Instance: other, Incarnation: 1, Window: number}
 			return func(f *Facts) {
-				f.MergeEvidence(Evidence{key, counts[0], counts[1], counts[2], counts[3], counts[4]})
+				f.MergeEvidence(Evidence{key, counts[0], counts[1], TimeSums{counts[2], counts[3], counts[4]}, TimeSums{counts[4], counts[2], counts[3]}})
 			}
 		}
 	}), 0, 15).Draw(t, label)
--- a/membership/incoming.go
+++ b/membership/incoming.go
@@ -125,7 +125,7 @@
 		changed = e.mergeQuarantine(e.quarantineFrom(q, now)) || changed
 	}
 	for _, c := range m.GetEvidence() {
-		changed = e.mergeEvidence(evidenceFrom(c)) || changed
+		changed = e.mergeEvidence(EvidenceFrom(c)) || changed
 	}
 	return changed
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -88,7 +88,7 @@
 			}
 		case kindEvidence:
 			if ev, ok := e.facts.evidence.items[key.evidence]; ok {
-				out.evidence = append(out.evidence, evidenceMessage(ev))
+				out.evidence = append(out.evidence, EvidenceMessage(ev))
 			}
 		}
 	}
@@ -102,22 +102,31 @@
 	}
 }
 
-func evidenceMessage(ev Evidence) *pb.EvidenceCounter {
+// EvidenceMessage encodes counters.
+func EvidenceMessage(ev Evidence) *pb.EvidenceCounter {
 	return &pb.EvidenceCounter{
-		Move:               ev.Move,
-		Version:            ev.Version,
-		Instance:           ev.Instance,
-		Incarnation:        ev.Incarnation,
-		Window:             ev.Window,
-		Requests:           ev.Requests,
-		Failures:           ev.Failures,
-		FirstTokenMsSum:    ev.FirstTokenMsSum,
-		TokenIntervalUsSum: ev.TokenIntervalUsSum,
-		TokenIntervals:     ev.TokenIntervals,
+		Move:          ev.Move,
+		Version:       ev.Version,
+		Instance:      ev.Instance,
+		Incarnation:   ev.Incarnation,
+		Window:        ev.Window,
+		Requests:      ev.Requests,
+		Failures:      ev.Failures,
+		FirstToken:    ev.FirstToken.message(),
+		TokenInterval: ev.TokenInterval.message(),
 	}
 }
 
-func evidenceFrom(m *pb.EvidenceCounter) Evidence {
+func (s TimeSums) message() *pb.TimeSums {
+	return &pb.TimeSums{Count: s.Count, LogSum: s.LogSum, LogSquareSum: s.LogSquareSum}
+}
+
+func timeSumsFrom(m *pb.TimeSums) TimeSums {
+	return TimeSums{m.GetCount(), m.GetLogSum(), m.GetLogSquareSum()}
+}
+
+// EvidenceFrom decodes counters.
+func EvidenceFrom(m *pb.EvidenceCounter) Evidence {
 	return Evidence{
 		EvidenceKey: EvidenceKey{
 			Move:        m.GetMove(),
@@ -126,10 +135,9 @@
 			Incarnation: m.GetIncarnation(),
 			Window:      m.GetWindow(),
 		},
-		Requests:           m.GetRequests(),
-		Failures:           m.GetFailures(),
-		FirstTokenMsSum:    m.GetFirstTokenMsSum(),
-		TokenIntervalUsSum: m.GetTokenIntervalUsSum(),
-		TokenIntervals:     m.GetTokenIntervals(),
+		Requests:      m.GetRequests(),
+		Failures:      m.GetFailures(),
+		FirstToken:    timeSumsFrom(m.GetFirstToken()),
+		TokenInterval: timeSumsFrom(m.GetTokenInterval()),
 	}
 }
--- a/moves/decide_test.go
+++ b/moves/decide_test.go
@@ -28,11 +28,12 @@
 // series returns one window with the given counts and times per request.
 func series(window, requests, failures int64, firstToken time.Duration) Series {
 	w := WindowTotals{Window: window}
-	w.addCounter(&pb.EvidenceCounter{
-		Requests: requests, Failures: failures,
-		FirstTokenMsSum:    firstToken.Milliseconds() * (requests - failures),
-		TokenIntervalUsSum: firstToken.Microseconds() * (requests - failures), TokenIntervals: 10 * (requests - failures),
-	})
+	c := &pb.EvidenceCounter{Requests: requests, Failures: failures}
+	for range requests - failures {
+		c.FirstToken = addTime(c.GetFirstToken(), firstToken)
+		c.TokenInterval = addTime(c.GetTokenInterval(), firstToken/10)
+	}
+	addCounter(&w.Totals, c)
 	return Series{w}
 }
 
--- a/moves/evidence.go
+++ b/moves/evidence.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/basilloom/basilloom/evidence"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
@@ -26,97 +27,25 @@
 // firstFullWindow returns the first window that begins at or after the time.
 func firstFullWindow(t time.Time) int64 { return WindowOf(t.Add(WindowLength - 1)) }
 
-// moment accumulates the mean and variance of cell means, weighted by requests. A cell
-// is one instance in one window. Counters contain no sums of squares, so the variance
-// between cells replaces the variance between requests.
-type moment struct {
-	// sum and square are the weighted sums of the means and of their squares.
-	weight, sum, square float64
-	cells               int
-}
-
-func (m *moment) addCell(weight, mean float64) {
-	m.weight += weight
-	m.sum += weight * mean
-	m.square += weight * mean * mean
-	m.cells++
-}
-
-func (m *moment) add(other moment) {
-	m.weight += other.weight
-	m.sum += other.sum
-	m.square += other.square
-	m.cells += other.cells
-}
-
-func (m *moment) mean() float64 {
-	if m.weight == 0 {
-		return 0
-	}
-	return m.sum / m.weight
-}
-
-// variation returns the squared coefficient of variation of a single request, or 0 if
-// unknown.
-func (m *moment) variation() float64 {
-	mean := m.mean()
-	if m.cells < 2 || mean == 0 {
-		return 0
-	}
-	variance := (m.square - m.sum*mean) / float64(m.cells-1)
-	return variance / (mean * mean)
-}
-
-// Totals sums the evidence of all instances. Times include only requests that did not
-// fail.
-type Totals struct {
-	Requests int64
-	Failures int64
-
-	firstToken moment
-	interval   moment
-}
-
-// Add adds other totals.
-func (t *Totals) Add(other Totals) {
-	t.Requests += other.Requests
-	t.Failures += other.Failures
-	t.firstToken.add(other.firstToken)
-	t.interval.add(other.interval)
-}
-
-func (t *Totals) addCounter(c *pb.EvidenceCounter) {
-	t.Requests += c.GetRequests()
-	t.Failures += c.GetFailures()
-	served := float64(c.GetRequests() - c.GetFailures())
-	if served <= 0 {
-		return
-	}
-	t.firstToken.addCell(served, float64(c.GetFirstTokenMsSum())/served)
-	if c.GetTokenIntervals() > 0 {
-		t.interval.addCell(served, float64(c.GetTokenIntervalUsSum())/float64(c.GetTokenIntervals()))
-	}
-}
-
-func (t *Totals) failureRatio() float64 {
-	if t.Requests == 0 {
-		return 0
-	}
-	return float64(t.Failures) / float64(t.Requests)
+func addCounter(t *evidence.Totals, c *pb.EvidenceCounter) {
+	t.Add(evidence.Totals{
+		Requests: c.GetRequests(), Failures: c.GetFailures(),
+		First: evidence.DecodeTimes(c.GetFirstToken()), Intervals: evidence.DecodeTimes(c.GetTokenInterval()),
+	})
 }
 
 // WindowTotals is the evidence of one window.
 type WindowTotals struct {
 	Window int64
-	Totals
+	evidence.Totals
 }
 
 // Series is the evidence of one version of a move, ordered by window.
 type Series []WindowTotals
 
 // since sums the given window and all later ones.
-func (s Series) since(window int64) Totals {
-	var sum Totals
+func (s Series) since(window int64) evidence.Totals {
+	var sum evidence.Totals
 	for _, w := range s {
 		if w.Window >= window {
 			sum.Add(w.Totals)
@@ -127,7 +56,7 @@
 
 // baseline sums like since and then adds earlier windows, latest first, until the sum
 // has the wanted number of requests.
-func (s Series) baseline(window, wanted int64) Totals {
+func (s Series) baseline(window, wanted int64) evidence.Totals {
 	sum := s.since(window)
 	for _, w := range slices.Backward(s) {
 		if sum.Requests >= wanted {
@@ -150,7 +79,6 @@
 	// between two tokens, 0 if there are fewer than two.
 	FirstToken    time.Duration
 	TokenInterval time.Duration
-	Intervals     int
 }
 
 type seriesKey struct{ move, version string }
@@ -162,16 +90,16 @@
 
 type window struct {
 	cells  map[cellKey]*pb.EvidenceCounter
-	folded *Totals
+	folded *evidence.Totals
 }
 
-func (w *window) totals() Totals {
+func (w *window) totals() evidence.Totals {
 	if w.folded != nil {
 		return *w.folded
 	}
-	var sum Totals
+	var sum evidence.Totals
 	for _, c := range w.cells {
-		sum.addCounter(c)
+		addCounter(&sum, c)
 	}
 	return sum
 }
@@ -213,9 +141,10 @@
 		c.Failures++
 		return
 	}
-	c.FirstTokenMsSum += s.FirstToken.Milliseconds()
-	c.TokenIntervalUsSum += s.TokenInterval.Microseconds() * int64(s.Intervals)
-	c.TokenIntervals += int64(s.Intervals)
+	c.FirstToken = addTime(c.GetFirstToken(), s.FirstToken)
+	if s.TokenInterval > 0 {
+		c.TokenInterval = addTime(c.GetTokenInterval(), s.TokenInterval)
+	}
 }
 
 // cell returns the counter of an instance, or nil if its window is folded.
@@ -264,9 +193,22 @@
 func mergeCounter(c, in *pb.EvidenceCounter) {
 	c.Requests = max(c.Requests, in.GetRequests())
 	c.Failures = max(c.Failures, in.GetFailures())
-	c.FirstTokenMsSum = max(c.FirstTokenMsSum, in.GetFirstTokenMsSum())
-	c.TokenIntervalUsSum = max(c.TokenIntervalUsSum, in.GetTokenIntervalUsSum())
-	c.TokenIntervals = max(c.TokenIntervals, in.GetTokenIntervals())
+	c.FirstToken = laterTimes(c.GetFirstToken(), in.GetFirstToken())
+	c.TokenInterval = laterTimes(c.GetTokenInterval(), in.GetTokenInterval())
+}
+
+// laterTimes returns the sums that include more times.
+func laterTimes(a, b *pb.TimeSums) *pb.TimeSums {
+	if b.GetCount() > a.GetCount() {
+		return clone(b)
+	}
+	return a
+}
+
+func addTime(m *pb.TimeSums, d time.Duration) *pb.TimeSums {
+	times := evidence.DecodeTimes(m)
+	times.Add(d)
+	return times.Message()
 }
 
 // Series returns the evidence of a version of a move.
--- a/moves/sim_test.go
+++ b/moves/sim_test.go
@@ -115,8 +115,8 @@
 	}
 	sample.FirstToken = time.Duration(b.slowdown * 300 * math.Exp(s.rng.NormFloat64()) * float64(time.Millisecond))
 	sample.TokenInterval = time.Duration(b.slowdown * 25 * math.Exp(0.3*s.rng.NormFloat64()) * float64(time.Millisecond))
-	sample.Intervals = 1 + int(50*math.Exp(s.rng.NormFloat64()))
-	took := sample.FirstToken + time.Duration(sample.Intervals)*sample.TokenInterval
+	intervals := 1 + int(50*math.Exp(s.rng.NormFloat64()))
+	took := sample.FirstToken + time.Duration(intervals)*sample.TokenInterval
 	return pendingSample{s.now.Add(took), instance, sample}
 }
 
--- a/rollout/history.go
+++ b/rollout/history.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/evidence"
 )
 
 const (
@@ -19,12 +19,12 @@
 
 type snapshot struct {
 	at     time.Time
-	routes map[uint32]*Evidence
+	routes map[uint32]*evidence.Pair
 }
 
 // recent adds the current state and returns the evidence since the one that is recentTime
 // old, or nil if there is none.
-func (h *history) recent(now time.Time, routes map[uint32]*Evidence) map[uint32]*Evidence {
+func (h *history) recent(now time.Time, routes map[uint32]*evidence.Pair) map[uint32]*evidence.Pair {
 	if n := len(h.snapshots); n == 0 || now.Sub(h.snapshots[n-1].at) >= snapshotInterval {
 		h.snapshots = append(h.snapshots, snapshot{now, routes})
 	}
@@ -34,34 +34,22 @@
 	if now.Sub(h.snapshots[0].at) < recentTime {
 		return nil
 	}
-	recent := make(map[uint32]*Evidence)
-	for route, e := range routes {
+	recent := make(map[uint32]*evidence.Pair)
+	for route, pair := range routes {
 		before, ok := h.snapshots[0].routes[route]
 		if !ok {
-			recent[route] = e
+			recent[route] = pair
 			continue
 		}
-		if since, ok := e.since(before); ok {
-			recent[route] = since
+		if later, ok := since(pair, before); ok {
+			recent[route] = later
 		}
 	}
 	return recent
 }
 
-// since returns the evidence after an earlier state. It reports false if there is less than
-// before, because an instance has restarted or its reports have stopped.
-func (e *Evidence) since(before *Evidence) (*Evidence, bool) {
-	since := &Evidence{
-		From:      moves.Totals{Requests: e.From.Requests - before.From.Requests, Failures: e.From.Failures - before.From.Failures},
-		To:        moves.Totals{Requests: e.To.Requests - before.To.Requests, Failures: e.To.Failures - before.To.Failures},
-		FromTimes: e.FromTimes.minus(before.FromTimes), ToTimes: e.ToTimes.minus(before.ToTimes),
-		FromGaps: e.FromGaps.minus(before.FromGaps), ToGaps: e.ToGaps.minus(before.ToGaps),
-	}
-	least := min(float64(since.From.Requests), float64(since.From.Failures), float64(since.To.Requests), float64(since.To.Failures),
-		since.FromTimes.count, since.ToTimes.count, since.FromGaps.count, since.ToGaps.count)
-	return since, least >= 0
-}
-
-func (t Times) minus(before Times) Times {
-	return Times{t.count - before.count, t.logSum - before.logSum, t.logSquareSum - before.logSquareSum}
+func since(pair, before *evidence.Pair) (*evidence.Pair, bool) {
+	from, fromOK := pair.From.Since(&before.From)
+	to, toOK := pair.To.Since(&before.To)
+	return &evidence.Pair{From: from, To: to}, fromOK && toOK
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"github.com/basilloom/basilloom/moves"
+	"github.com/basilloom/basilloom/evidence"
 )
 
 // Order requests that a service move to the targets of a version.
@@ -68,38 +68,42 @@
 	propagationTime = time.Second
 	// minResponses is the number of responses from the new version needed for the shift.
 	minResponses = 6
-	// maxFailureIncrease limits the increase of the failure ratio and maxSlowdown the
-	// ratio of the mean response times, both against the old version.
+	// maxFailureIncrease limits the increase of the failure ratio against the old version.
 	maxFailureIncrease = 0.04
-	maxSlowdown        = 2
+	// maxRouteSlowdown limits the ratio of the times on one route, maxSlowdown that over all
+	// routes. The second is lower, because all routes together give more evidence.
+	maxRouteSlowdown = 2
+	maxSlowdown      = 1.5
+	// maxShiftSlowdown limits the estimated ratio with which all requests are shifted.
+	// A new version gets few requests before that and should be no slower than the old one.
+	maxShiftSlowdown = 1.25
+	// shiftSigma is the distance above maxShiftSlowdown in standard errors that prevents the
+	// shift. With few responses the estimate of a good version is above the limit too often.
+	shiftSigma = 2
 )
 
-// Evidence sums what all instances have observed on one route.
-type Evidence struct {
-	From, To moves.Totals
-	// FromTimes and ToTimes are the times to the first event of a stream or to a response,
-	// FromGaps and ToGaps the mean times between the events of a stream.
-	FromTimes, ToTimes Times
-	FromGaps, ToGaps   Times
-}
-
 // Regressed reports whether the new version is worse on any route or on all routes
 // together, and why.
-func Regressed(routes map[uint32]*Evidence) (string, bool) {
-	var all Evidence
-	for _, e := range routes {
-		if reason, regressed := moves.TotalsRegressed(&e.From, &e.To, maxFailureIncrease, maxSlowdown); regressed {
+func Regressed(routes map[uint32]*evidence.Pair) (string, bool) {
+	for _, pair := range routes {
+		limits := evidence.Limits{FailureIncrease: maxFailureIncrease, Slowdown: maxRouteSlowdown}
+		if reason, regressed := evidence.Regressed([]evidence.Pair{*pair}, limits); regressed {
 			return reason, true
 		}
-		all.From.Add(e.From)
-		all.To.Add(e.To)
 	}
-	if times, proved := slower(routes, slowdown.proved); proved {
-		return "responses take " + times, true
+	return evidence.Regressed(pairs(routes), evidence.Limits{FailureIncrease: maxFailureIncrease, Slowdown: maxSlowdown})
+}
+
+func pairs(routes map[uint32]*evidence.Pair) []evidence.Pair {
+	all := make([]evidence.Pair, 0, len(routes))
+	for _, pair := range routes {
+		all = append(all, *pair)
 	}
-	return moves.TotalsRegressed(&all.From, &all.To, maxFailureIncrease, 0)
+	return all
 }
 
+func preventsShift(s evidence.Slowdown) bool { return s.Above(maxShiftSlowdown, shiftSigma) }
+
 // Input holds the data for a decision.
 type Input struct {
 	Order Order
@@ -144,10 +148,10 @@
 // shiftable reports whether the evidence suffices to send all requests to the new version
 // and, if not, what is missing.
 func (in *Input) shiftable() (string, bool) {
-	if times, slow := slower(in.Observed.Routes, slowdown.preventsShift); slow {
+	if times, slow := evidence.Slower(pairs(in.Observed.Routes), preventsShift); slow {
 		return "responses seem to take " + times, false
 	}
-	if times, slow := slower(in.Observed.Recent, slowdown.preventsShift); slow {
+	if times, slow := evidence.Slower(pairs(in.Observed.Recent), preventsShift); slow {
 		return "recent responses seem to take " + times, false
 	}
 	if responses := in.Observed.responses(); responses < minResponses {
@@ -174,12 +178,12 @@
 func (o *Observations) responses() int64 {
 	var responses int64
 	for _, e := range o.Routes {
-		responses += max(e.To.Requests, int64(e.ToTimes.count)+e.To.Failures)
+		responses += max(e.To.Requests, e.To.First.Count()+e.To.Failures)
 	}
 	return responses
 }
 
 func (o *Observations) summary() string {
 	return fmt.Sprintf("%d responses show no regression; they take %v as long, and %v between events", o.responses(),
-		compareTimes(o.Routes, responseTimes), compareTimes(o.Routes, eventGaps))
+		evidence.Compare(pairs(o.Routes), evidence.FirstEvents), evidence.Compare(pairs(o.Routes), evidence.Intervals))
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilloom/basilloom/evidence"
 )
 
 var order = Order{Service: "s", To: "v2", Duration: 12 * time.Second, ID: 7}
@@ -116,7 +118,7 @@
 		phase            Phase
 		elapsed, inPhase time.Duration
 		running          int
-		routes           map[uint32]*Evidence
+		routes           map[uint32]*evidence.Pair
 		want             Phase
 	}{
 		{"early", Canary, 5 * time.Second, 5 * time.Second, 0, observed.Routes, Canary},
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/basilloom/basilloom/evidence"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
-	"github.com/basilloom/basilloom/moves"
 )
 
 // Tracker is one instance's view of the moves: which version its requests use and
@@ -44,12 +44,9 @@
 
 type responseCount struct {
 	sent, responses, failures uint64
-	// totalTime sums the times to the first event or the response, and times their
-	// logarithms.
-	totalTime time.Duration
-	times     Times
-	// gaps sums the logarithms of the mean times between the events of a stream.
-	gaps Times
+	// first are the times to the first event or the response, intervals the mean times
+	// between the events of a stream.
+	first, intervals evidence.Times
 }
 
 type peerCounts struct {
@@ -231,14 +228,13 @@
 // requests.
 func (t *Tracker) ObserveTime(service string, route uint32, version string, responseTime time.Duration) {
 	t.observe(service, route, version, func(r *responseCount) {
-		r.totalTime += responseTime
-		r.times.add(responseTime)
+		r.first.Add(responseTime)
 	})
 }
 
 // ObserveGap records the mean time between the events of a stream of a version.
 func (t *Tracker) ObserveGap(service string, route uint32, version string, gap time.Duration) {
-	t.observe(service, route, version, func(r *responseCount) { r.gaps.add(gap) })
+	t.observe(service, route, version, func(r *responseCount) { r.intervals.Add(gap) })
 }
 
 func (t *Tracker) observe(service string, route uint32, version string, record func(*responseCount)) {
@@ -285,16 +281,24 @@
 }
 
 func (r responseCount) message() *pb.AnswerCount {
+	first, intervals := r.first.Message(), r.intervals.Message()
 	return &pb.AnswerCount{
-		Sent: r.sent, Answers: r.responses, Failures: r.failures, TimeMsSum: uint64(r.totalTime.Milliseconds()), Timed: uint64(r.times.count),
-		TimeLogSum: uint64(r.times.logSum / logUnit), TimeLogSquareSum: uint64(r.times.logSquareSum / logUnit),
-		Gaps: uint64(r.gaps.count), GapLogSum: uint64(r.gaps.logSum / logUnit), GapLogSquareSum: uint64(r.gaps.logSquareSum / logUnit),
+		Sent: r.sent, Answers: r.responses, Failures: r.failures,
+		Timed: uint64(first.GetCount()), TimeLogSum: uint64(first.GetLogSum()), TimeLogSquareSum: uint64(first.GetLogSquareSum()),
+		Gaps: uint64(intervals.GetCount()), GapLogSum: uint64(intervals.GetLogSum()), GapLogSquareSum: uint64(intervals.GetLogSquareSum()),
 	}
 }
 
-// decodeTimes returns the times of a report.
-func decodeTimes(count, logSum, logSquareSum uint64) Times {
-	return Times{count: float64(count), logSum: float64(logSum) * logUnit, logSquareSum: float64(logSquareSum) * logUnit}
+// totals decodes the counts of a report.
+func totals(c *pb.AnswerCount) evidence.Totals {
+	times := func(count, logSum, logSquareSum uint64) evidence.Times {
+		return evidence.DecodeTimes(&pb.TimeSums{Count: int64(count), LogSum: int64(logSum), LogSquareSum: int64(logSquareSum)})
+	}
+	return evidence.Totals{
+		Requests: int64(c.GetAnswers()), Failures: int64(c.GetFailures()),
+		First:     times(c.GetTimed(), c.GetTimeLogSum(), c.GetTimeLogSquareSum()),
+		Intervals: times(c.GetGaps(), c.GetGapLogSum(), c.GetGapLogSquareSum()),
+	}
 }
 
 // SetPeer stores the counts reported by a peer.
@@ -310,7 +314,7 @@
 type Observations struct {
 	// Routes is the evidence on each route since the order, Recent that of the last
 	// recentTime, nil before that.
-	Routes, Recent map[uint32]*Evidence
+	Routes, Recent map[uint32]*evidence.Pair
 	// FromRunning is the number of requests running on the old version.
 	FromRunning int
 }
@@ -320,19 +324,20 @@
 	local := t.Report()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := Observations{Routes: make(map[uint32]*Evidence)}
+	o := Observations{Routes: make(map[uint32]*evidence.Pair)}
 	sent, sentToNew := uint64(0), uint64(0)
 	add := func(counts []*pb.VersionCount) {
 		for _, c := range counts {
 			if c.GetOrder() != order.ID {
 				continue
 			}
-			e, ok := o.Routes[c.GetRoute()]
+			pair, ok := o.Routes[c.GetRoute()]
 			if !ok {
-				e = &Evidence{}
-				o.Routes[c.GetRoute()] = e
+				pair = &evidence.Pair{}
+				o.Routes[c.GetRoute()] = pair
 			}
-			e.add(c)
+			pair.From.Add(totals(c.GetFrom()))
+			pair.To.Add(totals(c.GetTo()))
 			o.FromRunning += int(c.GetFromRunning())
 			sent += c.GetFrom().GetSent() + c.GetTo().GetSent()
 			sentToNew += c.GetTo().GetSent()
@@ -349,18 +354,6 @@
 	return o
 }
 
-func (e *Evidence) add(c *pb.VersionCount) {
-	addCounts(&e.From, &e.FromTimes, &e.FromGaps, c.GetFrom())
-	addCounts(&e.To, &e.ToTimes, &e.ToGaps, c.GetTo())
-}
-
-func addCounts(totals *moves.Totals, times, gaps *Times, c *pb.AnswerCount) {
-	totals.AddResponses(int64(c.GetAnswers()), int64(c.GetFailures()))
-	totals.AddTimes(int64(c.GetTimed()), time.Duration(c.GetTimeMsSum())*time.Millisecond)
-	times.merge(decodeTimes(c.GetTimed(), c.GetTimeLogSum(), c.GetTimeLogSquareSum()))
-	gaps.merge(decodeTimes(c.GetGaps(), c.GetGapLogSum(), c.GetGapLogSquareSum()))
-}
-
 // StopIfRegressed stops the new version on this instance if the evidence shows a regression,
 // without waiting for the fleet's decision. It returns the reason for a new stop.
 func (t *Tracker) StopIfRegressed(order Order) (string, bool) {
