instance: only the owner of a version order reads its status

What operators would see: calls to the store that grow with the number of instances while a service changes its version, 4 a second for each instance: 336 a second at 84, 1,760 at 440, of the 2,000 reads a second that the store takes.

Cause: each instance read the status row every 250 ms to learn the phase.

Change: the owner of an order reads the status and reports the phase with its other reports. The others read it only if they have not heard of it for a second, so they learn a phase within rollout.PropagationTime also without the owner.

TestOneInstanceReadsTheStatusOfAnOrder failed before (37 reads of four instances in 3 s, 18 allowed). TestPhaseReachesInstancesThatDoNotReadTheStatus guards the other side and passed before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,6 +75,7 @@
 	peerServer    *http.Server
 	crashes       *crashes
 	tracker       *rollout.Tracker
+	orderStatus   orderStatus
 	// orderWaitLogged is when the last line on what a version order waits for was logged.
 	orderWaitLogged time.Time
 	status          storage.Table // holds the status of version orders
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -103,6 +103,7 @@
 		m.Spending = append(m.Spending, &pb.WorkspaceSpending{Workspace: workspace, Amount: uint64(amount)})
 	}
 	m.Versions = i.tracker.Report()
+	m.Phases = i.phasesForReport(time.Now())
 	for _, c := range i.crashes.forReport(time.Now()) {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
 			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets, Begun: c.Begun,
@@ -123,6 +124,7 @@
 	}
 	i.ledger.ApplyReport(time.Now(), m.GetInstance(), m.GetIncarnation(), usage, levels)
 	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
+	i.applyPhases(m.GetPhases(), time.Now())
 	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
 		entries = append(entries, scheduler.QuarantineEntry{
--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/rollout"
@@ -17,9 +19,13 @@
 const (
 	// decidePeriod is the interval between checks of the orders in progress.
 	decidePeriod = 125 * time.Millisecond
-	// statusPeriod is the interval between reads of the status while an order is in
+	// statusPeriod is the interval between reads of the status by the owner of an order in
 	// progress.
 	statusPeriod = 250 * time.Millisecond
+	// statusTimeout is how long the other instances rely on the owner's last report of the
+	// status before they read it themselves. All instances must know a phase within
+	// rollout.PropagationTime.
+	statusTimeout = time.Second
 	// waitLogPeriod is the interval between log lines on what an order waits for.
 	waitLogPeriod = time.Second
 )
@@ -64,16 +70,19 @@
 			}
 			lastRead = now
 			for _, order := range active {
-				i.followOrder(ctx, order, now)
+				if i.ownsOrder(order, now) || i.orderStatus.expired(order.ID, now) {
+					i.followOrder(ctx, order, now)
+				}
 			}
 		}
 	}
 }
 
 // followOrder reads the status of an order and, if this instance owns the order,
-// decides its next phase.
+// decides its next phase. The other instances hear of the phase in the owner's reports.
 func (i *Instance) followOrder(ctx context.Context, order rollout.Order, now time.Time) {
 	key := storage.Key{Sort: platform.StatusKey(order.Service)}
+	i.orderStatus.heard(order.ID, now)
 	row, err := i.status.Get(ctx, key)
 	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		i.log.Info("version order status not read", zap.String(field.Service, order.Service), zap.Error(err))
@@ -87,13 +96,78 @@
 	}
 	if status.Order.ID == order.ID && status.Phase != "" {
 		i.tracker.SetPhase(order.Service, order.ID, status.Phase)
+		i.orderStatus.read(order.ID, now)
 	}
-	owner, _ := i.fleet.Owner(key.Sort, func(string) bool { return true }, now)
-	if owner == i.settings.Load().Instance {
+	if i.ownsOrder(order, now) {
 		i.decideOrder(ctx, order, status, key, row.Version)
 	}
 }
 
+func (i *Instance) ownsOrder(order rollout.Order, now time.Time) bool {
+	owner, _ := i.fleet.Owner(platform.StatusKey(order.Service), func(string) bool { return true }, now)
+	return owner == i.settings.Load().Instance
+}
+
+// phasesForReport returns the phases of the orders that this instance owns and whose status
+// it has just read. The final phase of an order does not change any more.
+func (i *Instance) phasesForReport(now time.Time) []*pb.OrderPhase {
+	var phases []*pb.OrderPhase
+	for order, phase := range i.tracker.Orders() {
+		if i.ownsOrder(order, now) && i.orderStatus.isRead(order.ID, now, phase.Ended()) {
+			phases = append(phases, &pb.OrderPhase{Order: order.ID, Phase: string(phase)})
+		}
+	}
+	return phases
+}
+
+// applyPhases applies the phases that the owners of orders report.
+func (i *Instance) applyPhases(phases []*pb.OrderPhase, now time.Time) {
+	for _, p := range phases {
+		for _, order := range i.tracker.Active() {
+			if order.ID == p.GetOrder() {
+				i.tracker.SetPhase(order.Service, order.ID, rollout.Phase(p.GetPhase()))
+				i.orderStatus.heard(order.ID, now)
+			}
+		}
+	}
+}
+
+// orderStatus records how recent this instance's knowledge of the status of each order is.
+type orderStatus struct {
+	mu sync.Mutex
+	// heardAt is when the status was last reported by an owner or asked for at the store,
+	// readAt when a phase was last read from the store.
+	heardAt, readAt map[int64]time.Time
+}
+
+func (s *orderStatus) heard(order int64, now time.Time) { s.record(&s.heardAt, order, now) }
+
+func (s *orderStatus) read(order int64, now time.Time) { s.record(&s.readAt, order, now) }
+
+func (s *orderStatus) record(times *map[int64]time.Time, order int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *times == nil {
+		*times = make(map[int64]time.Time)
+	}
+	(*times)[order] = now
+}
+
+// expired reports whether the status must be read from the store.
+func (s *orderStatus) expired(order int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.heardAt[order]) >= statusTimeout
+}
+
+// isRead reports whether the phase was read recently or, if it is final, at all.
+func (s *orderStatus) isRead(order int64, now time.Time, final bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.readAt[order]
+	return ok && (final || now.Sub(at) < statusTimeout)
+}
+
 // decideOrder writes the next phase of an order unless another instance has written one.
 func (i *Instance) decideOrder(ctx context.Context, order rollout.Order, status platform.Status, key storage.Key, version int64) {
 	clock := i.store.Now()
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -94,6 +96,65 @@
 	}
 }
 
+// Guards against reads of an order's status that grow with the number of instances.
+func TestOneInstanceReadsTheStatusOfAnOrder(t *testing.T) {
+	t.Parallel()
+	const instances, measured = 4, 3 * time.Second
+	env := newTestEnv(t)
+	env.worker("w-old", worker.Always(worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	var nodes []*node
+	for k := range instances {
+		nodes = append(nodes, env.start(fmt.Sprint("i", k)))
+	}
+	env.store.Put(platform.TableOperator, "rollout/app", env.encode(map[string]any{"service": "app", "to": "v2", "duration_s": 3600}))
+	reads := func() int64 {
+		sum := int64(0)
+		for _, n := range nodes {
+			sum += n.store.Calls()[platform.CallRead].Answered.Load()
+		}
+		return sum
+	}
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return len(n.tracker.Active()) == 0 })
+	}, applyTime, 5*time.Millisecond)
+	time.Sleep(2 * statusTimeout)
+	before := reads()
+	time.Sleep(measured)
+	owner := int64(measured / statusPeriod)
+	require.LessOrEqual(t, reads()-before, owner+owner/2)
+}
+
+// Guards against an instance that keeps sending requests to both versions because it hears
+// of a phase that another instance has decided too late or not at all.
+func TestPhaseReachesInstancesThatDoNotReadTheStatus(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.worker("w-old", worker.Always(worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	nodes := []*node{env.start("i1"), env.start("i2"), env.start("i3")}
+	const order = "rollout/app"
+	env.store.Put(platform.TableOperator, order, env.encode(map[string]any{"service": "app", "to": "v2", "duration_s": 3600}))
+	require.Eventually(t, func() bool {
+		_, err := nodes[0].status.Get(context.Background(), storage.Key{Sort: order})
+		return err == nil
+	}, applyTime, 5*time.Millisecond)
+	time.Sleep(2 * statusTimeout)
+	active := nodes[0].tracker.Active()[0]
+	for _, phase := range []rollout.Phase{rollout.Shifted, rollout.Done} {
+		now := nodes[0].store.Now()
+		value, err := platform.EncodeStatus(platform.Status{Order: active, Phase: phase, StartedAt: now, PhaseStartedAt: now + time.Hour})
+		require.NoError(t, err)
+		env.store.Put(platform.TableStatus, order, value)
+		for _, n := range nodes {
+			require.Eventually(t, func() bool {
+				got, _ := n.tracker.State(active)
+				return got == phase
+			}, rollout.PropagationTime, 5*time.Millisecond, "%s %s", n.path, phase)
+		}
+	}
+}
+
 // Guards against refusing requests while the targets of the old version still run, because
 // those of the new version stopped after all requests were shifted to it.
 func TestShiftedRequestsFallBackToTheOldVersion(t *testing.T) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -64,8 +64,8 @@
 	// requests go to it.
 	rampShare = 0.3
 	rampTime  = time.Second
-	// propagationTime is the time allowed for all instances to apply the shift.
-	propagationTime = time.Second
+	// PropagationTime is the time allowed for all instances to apply the shift.
+	PropagationTime = time.Second
 	// minResponses is the number of responses from the new version needed for the shift.
 	minResponses = 6
 	// maxFailureIncrease limits the increase of the failure ratio against the old version.
@@ -139,7 +139,7 @@
 		}
 		return Canary, missing
 	}
-	if in.InPhase >= propagationTime && (in.Observed.FromRunning == 0 || fraction >= completionFraction) {
+	if in.InPhase >= PropagationTime && (in.Observed.FromRunning == 0 || fraction >= completionFraction) {
 		return Done, fmt.Sprintf("%d requests left on the old version", in.Observed.FromRunning)
 	}
 	return Shifted, ""
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -101,6 +101,17 @@
 	return active
 }
 
+// Orders returns all orders with their phases, ended ones included.
+func (t *Tracker) Orders() map[Order]Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	orders := make(map[Order]Phase, len(t.moves))
+	for _, m := range t.moves {
+		orders[m.order] = m.phase
+	}
+	return orders
+}
+
 // Choose returns the version for a request of the service; empty means any. A retry
 // avoids the new version until all requests go to it.
 func (t *Tracker) Choose(service string, retry bool) string {
