instance, fleet: an order is decided by an instance that reaches the store

Cause: the owner of an order is the instance with most processor time and the highest hash among those that send reports. It was cut off from the store, but not from its peers, from second 1 to 13, and nobody else decided in its place: the order of second 1.9 was first decided at 13.2 s, 0.2 s after the cut. A bad version would have been stopped by each instance on its own evidence, but would not have been rolled back. Same class as an owner that does not respond: reports were taken for proof that the instance can do the duty. Tables were not affected; their readers are chosen by whether the store responds to them.

Change: reports state that the sender's last read of an order's status failed. Fleet.Owner prefers by report instead of by zone, and orders are owned by instances without that mark. Such an instance goes on reading once a second and removes its mark when the store responds.

TestOrderOfAnOwnerWithoutStoreIsDecided failed before (no decision within 4 s).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -412,18 +412,18 @@
 	}
 }
 
-// Owner selects the owner of a key over the reachable instances, or over those in
-// preferred zones if there are any: of the instances with most processor time, the one
-// that rendezvous hashing selects.
-func (f *Fleet) Owner(key string, preferred func(zone string) bool, now time.Time) (name, address string) {
+// Owner selects the owner of a key over the reachable instances, or over those whose
+// reports are preferred if there are any: of the instances with most processor time, the one
+// that rendezvous hashing selects. The report of this instance has no load or usage.
+func (f *Fleet) Owner(key string, preferred func(*pb.FleetReport) bool, now time.Time) (name, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rankOf := func(p *Peer) rank {
-		return rank{preferred: preferred(p.Zone), milliCores: p.Report.GetMilliCores(), score: membership.Score(key, p.Name)}
+		return rank{preferred: preferred(p.Report), milliCores: p.Report.GetMilliCores(), score: membership.Score(key, p.Name)}
 	}
 	owner := &Peer{
 		Name: f.settings.Self, Address: f.settings.Address, Zone: f.settings.Zone,
-		Report: &pb.FleetReport{MilliCores: f.settings.MilliCores},
+		Report: &pb.FleetReport{Instance: f.settings.Self, Zone: f.settings.Zone, MilliCores: f.settings.MilliCores},
 	}
 	highest := rankOf(owner)
 	if f.leaving {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -45,7 +45,7 @@
 	for _, name := range []string{"a", "b", "c"} {
 		require.True(t, f.accept(report(name, 1, 1, "z2"), now))
 	}
-	inZone2 := func(zone string) bool { return zone == "z2" }
+	inZone2 := func(r *pb.FleetReport) bool { return r.GetZone() == "z2" }
 	owner, address := f.Owner("k", inZone2, now)
 	require.NotEqual(t, "self", owner)
 	require.Equal(t, owner+":1", address)
@@ -70,7 +70,7 @@
 func TestOwnerHasMostProcessorTime(t *testing.T) {
 	f, now := newFleet(t), time.Now()
 	f.settings.MilliCores = 192
-	anyZone := func(string) bool { return true }
+	anyZone := func(*pb.FleetReport) bool { return true }
 	for k, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 		m := report(name, 1, 1, "z1")
 		m.MilliCores = 192
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -38,7 +38,7 @@
 	i := r.instance
 	regions := i.settings.Load().Regions
 	region := mainRegion(i.groups.Zones(key.Pool), regions)
-	preferred := func(zone string) bool { return regions[zone] == region }
+	preferred := func(r *pb.FleetReport) bool { return regions[r.GetZone()] == region }
 	name, address := i.fleet.Owner(key.String(), preferred, time.Now())
 	return broker.Peer{Name: name, Address: address}, true
 }
--- a/internal/instance/fleet_test.go
+++ b/internal/instance/fleet_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,15 +49,7 @@
 	env := newTestEnv(t)
 	env.worker("w-a", worker.Always(worker.Serve))
 	env.configure(testRoutes(), []string{testKey}, 0)
-	var refused atomic.Bool
-	refusingStore := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if refused.Load() {
-			rw.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		env.store.ServeHTTP(rw, r)
-	}))
-	defer refusingStore.Close()
+	refusingStore, refused := env.refusingStore()
 	first, second := env.start("i1"), env.startAt("i2", refusingStore.URL)
 	require.Eventually(t, func() bool {
 		return len(first.fleet.LiveReports(time.Now())) == 1 && len(second.fleet.LiveReports(time.Now())) == 1
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -104,6 +104,7 @@
 	}
 	m.Versions = i.tracker.Report()
 	m.Phases = i.phasesForReport(time.Now())
+	m.StatusUnavailable = i.orderStatus.isUnavailable()
 	for _, c := range i.crashes.forReport(time.Now()) {
 		m.Crashes = append(m.Crashes, &pb.CrashRecord{
 			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets, Begun: c.Begun,
--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +47,7 @@
 		orders = append(orders, order)
 	}
 	i.tracker.SetOrders(orders)
+	i.orderStatus.keep(orders)
 }
 
 // runRollouts tracks the version orders in progress and decides on those that this
@@ -82,8 +85,8 @@
 // decides its next phase. The other instances hear of the phase in the owner's reports.
 func (i *Instance) followOrder(ctx context.Context, order rollout.Order, now time.Time) {
 	key := storage.Key{Sort: platform.StatusKey(order.Service)}
-	i.orderStatus.heard(order.ID, now)
 	row, err := i.status.Get(ctx, key)
+	i.orderStatus.asked(order.ID, now, err != nil && !errors.Is(err, storage.ErrNotFound))
 	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		i.log.Info("version order status not read", zap.String(field.Service, order.Service), zap.Error(err))
 		return
@@ -103,9 +106,18 @@
 	}
 }
 
+// ownsOrder reports whether this instance decides on an order. Instances that reach the
+// store are preferred.
 func (i *Instance) ownsOrder(order rollout.Order, now time.Time) bool {
-	owner, _ := i.fleet.Owner(platform.StatusKey(order.Service), func(string) bool { return true }, now)
-	return owner == i.settings.Load().Instance
+	self := i.settings.Load().Instance
+	reachesStore := func(r *pb.FleetReport) bool {
+		if r.GetInstance() == self {
+			return !i.orderStatus.isUnavailable()
+		}
+		return !r.GetStatusUnavailable()
+	}
+	owner, _ := i.fleet.Owner(platform.StatusKey(order.Service), reachesStore, now)
+	return owner == self
 }
 
 // phasesForReport returns the phases of the orders that this instance owns and whose status
@@ -134,38 +146,75 @@
 
 // orderStatus records how recent this instance's knowledge of the status of each order is.
 type orderStatus struct {
-	mu sync.Mutex
-	// heardAt is when the status was last reported by an owner or asked for at the store,
-	// readAt when a phase was last read from the store.
-	heardAt, readAt map[int64]time.Time
+	mu     sync.Mutex
+	orders map[int64]orderTimes
+	// unavailable is set if the last read from the store failed.
+	unavailable bool
+}
+
+type orderTimes struct {
+	// askedAt is when the status was last asked for at the store, readAt when a phase was
+	// last read there, heardAt when an owner last reported one.
+	askedAt, readAt, heardAt time.Time
 }
 
-func (s *orderStatus) heard(order int64, now time.Time) { s.record(&s.heardAt, order, now) }
+func (s *orderStatus) asked(order int64, now time.Time, failed bool) {
+	s.update(order, func(t *orderTimes) {
+		t.askedAt = now
+		s.unavailable = failed
+	})
+}
+
+func (s *orderStatus) read(order int64, now time.Time) {
+	s.update(order, func(t *orderTimes) { t.readAt = now })
+}
 
-func (s *orderStatus) read(order int64, now time.Time) { s.record(&s.readAt, order, now) }
+func (s *orderStatus) heard(order int64, now time.Time) {
+	s.update(order, func(t *orderTimes) { t.heardAt = now })
+}
 
-func (s *orderStatus) record(times *map[int64]time.Time, order int64, now time.Time) {
+func (s *orderStatus) update(order int64, change func(*orderTimes)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if *times == nil {
-		*times = make(map[int64]time.Time)
+	if s.orders == nil {
+		s.orders = make(map[int64]orderTimes)
 	}
-	(*times)[order] = now
+	t := s.orders[order]
+	change(&t)
+	s.orders[order] = t
 }
 
-// expired reports whether the status must be read from the store.
+// keep removes all but the given orders.
+func (s *orderStatus) keep(orders []rollout.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.orders, func(id int64, _ orderTimes) bool {
+		return !slices.ContainsFunc(orders, func(o rollout.Order) bool { return o.ID == id })
+	})
+}
+
+// expired reports whether an instance that does not own the order must read the status from
+// the store: it has heard of none for statusTimeout, or has to find out whether the store
+// responds again.
 func (s *orderStatus) expired(order int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.heardAt[order]) >= statusTimeout
+	t := s.orders[order]
+	return now.Sub(t.askedAt) >= statusTimeout && (s.unavailable || now.Sub(t.heardAt) >= statusTimeout)
 }
 
 // isRead reports whether the phase was read recently or, if it is final, at all.
 func (s *orderStatus) isRead(order int64, now time.Time, final bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.readAt[order]
-	return ok && (final || now.Sub(at) < statusTimeout)
+	t := s.orders[order]
+	return !t.readAt.IsZero() && (final || now.Sub(t.readAt) < statusTimeout)
+}
+
+func (s *orderStatus) isUnavailable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unavailable
 }
 
 // decideOrder writes the next phase of an order unless another instance has written one.
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
 	"github.com/basilloom/basilloom/internal/standin/worker"
 	"github.com/basilloom/basilloom/platform"
@@ -125,6 +127,35 @@
 	require.LessOrEqual(t, reads()-before, owner+owner/2)
 }
 
+// Guards against an order that nobody decides on while its owner is reported by its peers
+// but does not reach the store.
+func TestOrderOfAnOwnerWithoutStoreIsDecided(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.worker("w-old", worker.Always(worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	nodes, refused := make(map[string]*node), make(map[string]*atomic.Bool)
+	for _, name := range []string{"i1", "i2"} {
+		store, flag := env.refusingStore()
+		nodes[name], refused[name] = env.startAt(name, store.URL), flag
+	}
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return len(n.fleet.LiveReports(time.Now())) == 1 }, applyTime, 10*time.Millisecond)
+	}
+	const key = "rollout/app"
+	owner, _ := nodes["i1"].fleet.Owner(key, func(*pb.FleetReport) bool { return true }, time.Now())
+	refused[owner].Store(true)
+	env.store.Put(platform.TableOperator, key, env.encode(map[string]any{"service": "app", "to": "v2", "duration_s": 3600}))
+	require.Eventually(t, func() bool {
+		for name, n := range nodes {
+			if _, err := n.status.Get(context.Background(), storage.Key{Sort: key}); name != owner && err == nil {
+				return true
+			}
+		}
+		return false
+	}, contactTime, 20*time.Millisecond)
+}
+
 // Guards against an instance that keeps sending requests to both versions because it hears
 // of a phase that another instance has decided too late or not at all.
 func TestPhaseReachesInstancesThatDoNotReadTheStatus(t *testing.T) {
--- a/internal/instance/testenv_test.go
+++ b/internal/instance/testenv_test.go
@@ -204,6 +204,21 @@
 	return n
 }
 
+// refusingStore serves the store at another address, where it refuses calls while the flag
+// is set.
+func (env *testEnv) refusingStore() (*httptest.Server, *atomic.Bool) {
+	var refused atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if refused.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		env.store.ServeHTTP(rw, r)
+	}))
+	env.t.Cleanup(server.Close)
+	return server, &refused
+}
+
 // startAt starts an instance that reaches the store at a URL.
 func (env *testEnv) startAt(name, store string) *node {
 	n := env.assembleAt(name, store)
