instance: the duration of an order begins when the instance sees it

What operators would see: a good version that is not done by its deadline, because the first decision came late (store refuses, owner cut off) and the fractions of the duration were counted from that decision.

Change: the first status takes the time at which the deciding instance learned of the order. TestOrderBeginsWhenItIsSeen failed before (started 2.2 s after the order was seen; 1 s allowed).

--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -232,7 +232,7 @@
 			return
 		}
 	} else {
-		status.StartedAt = clock
+		status.StartedAt = clock - i.tracker.Age(order)
 	}
 	value, err := platform.EncodeStatus(platform.Status{Order: order, Phase: next, StartedAt: status.StartedAt, PhaseStartedAt: clock})
 	if err != nil {
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -156,6 +156,31 @@
 	}, contactTime, 20*time.Millisecond)
 }
 
+// Guards against a good version that misses its deadline because the first decision was
+// delayed by the store and the order's duration began with it.
+func TestOrderBeginsWhenItIsSeen(t *testing.T) {
+	t.Parallel()
+	const outage = 2 * time.Second
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	env.store.SetFaults(platformstore.Faults{Refuse: http.StatusServiceUnavailable})
+	seen := n.store.Now()
+	n.tracker.SetOrders([]rollout.Order{{Service: "app", To: "v2", Duration: time.Hour, ID: 7}})
+	time.Sleep(outage)
+	env.store.SetFaults(platformstore.Faults{})
+	require.Eventually(t, func() bool {
+		row, err := n.status.Get(context.Background(), storage.Key{Sort: platform.StatusKey("app")})
+		if err != nil {
+			return false
+		}
+		status, err := platform.DecodeStatus(row.Value)
+		require.NoError(t, err)
+		require.Less(t, status.StartedAt-seen, outage/2)
+		return true
+	}, contactTime, 20*time.Millisecond)
+}
+
 // Guards against an instance that keeps sending requests to both versions because it hears
 // of a phase that another instance has decided too late or not at all.
 func TestPhaseReachesInstancesThatDoNotReadTheStatus(t *testing.T) {
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -101,6 +101,17 @@
 	return active
 }
 
+// Age is the time since this instance learned of an order, 0 for an unknown one.
+func (t *Tracker) Age(order Order) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.moves[order.Service]
+	if !ok || m.order.ID != order.ID {
+		return 0
+	}
+	return t.now().Sub(m.seenAt)
+}
+
 // Orders returns all orders with their phases, ended ones included.
 func (t *Tracker) Orders() map[Order]Phase {
 	t.mu.Lock()
