--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -99,13 +99,7 @@
 		r = &partRecord{}
 		q.parts[e.Fingerprint] = r
 	}
-	unseen := 0
-	for _, target := range e.CrashedTargets {
-		if !slices.Contains(r.targets, target) {
-			r.targets = append(r.targets, target)
-			unseen++
-		}
-	}
+	unseen := addUnseen(&r.targets, e.CrashedTargets)
 	if unseen == 0 {
 		return false
 	}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -164,13 +164,7 @@
 		r = &quarantineRecord{}
 		q.records[e.Fingerprint] = r
 	}
-	unseen := 0
-	for _, target := range e.CrashedTargets {
-		if !slices.Contains(r.crashed, target) {
-			r.crashed = append(r.crashed, target)
-			unseen++
-		}
-	}
+	unseen := addUnseen(&r.crashed, e.CrashedTargets)
 	if unseen == 0 {
 		return false
 	}
@@ -185,6 +179,17 @@
 	return true
 }
 
+// addUnseen adds the targets that known does not contain and returns their number.
+func addUnseen(known *[]string, targets []string) int {
+	before := len(*known)
+	for _, target := range targets {
+		if !slices.Contains(*known, target) {
+			*known = append(*known, target)
+		}
+	}
+	return len(*known) - before
+}
+
 func (q *Quarantine) evictIfFull(now time.Time) {
 	if len(q.records) < maxQuarantineRecords {
 		return
