--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -122,7 +122,7 @@
 func (i *Instance) phasesForReport(now time.Time) []*pb.OrderPhase {
 	var phases []*pb.OrderPhase
 	for order, phase := range i.tracker.Orders() {
-		if i.ownsOrder(order, now) && i.orderStatus.isRead(order.ID, now, phase.Ended()) {
+		if i.orderStatus.isRead(order.ID, now, phase.Ended()) && i.ownsOrder(order, now) {
 			phases = append(phases, &pb.OrderPhase{Order: order.ID, Phase: string(phase)})
 		}
 	}
