--- a/broker/convert.go
+++ b/broker/convert.go
@@ -107,12 +107,15 @@
 	}
 }
 
+// untilDecided is the length of an exclusion without a time: longer than any ticket waits.
+const untilDecided = time.Hour
+
 // exclusions returns the targets that the ticket must not use and until when. An instance
 // of an earlier version does not send the times; its exclusions last as long as the ticket.
 func exclusions(now time.Time, m *pb.Ticket) []scheduler.Exclusion {
 	var excluded []scheduler.Exclusion
 	for i, target := range m.GetExcluded() {
-		remaining := time.Hour
+		remaining := untilDecided
 		if i < len(m.GetExcludedMs()) {
 			remaining = time.Duration(m.GetExcludedMs()[i]) * time.Millisecond
 		}
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -9,13 +9,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// totals returns responses whose times have a logarithm with standard deviation 0.8.
-func totals(rng *rand.Rand, requests, failures int64, time0 time.Duration) Totals {
+// totals returns responses whose times have the given median and a logarithm with standard
+// deviation 0.8.
+func totals(rng *rand.Rand, requests, failures int64, median time.Duration) Totals {
 	t := Totals{Requests: requests, Failures: failures}
 	for range requests - failures {
 		spread := math.Exp(0.8 * rng.NormFloat64())
-		t.First.Add(time.Duration(spread * float64(time0)))
-		t.Intervals.Add(time.Duration(spread * float64(time0) / 10))
+		t.First.Add(time.Duration(spread * float64(median)))
+		t.Intervals.Add(time.Duration(spread * float64(median) / 10))
 	}
 	return t
 }
