evidence: a step of a move is not taken on a single slow request

What operators would see: a move with min_requests of 1 or 2 goes on to the next step although its only responses took several times as long.

Cause: moved this check to the comparison of package evidence, which needs three times of each version because it estimates their variance. The check before needed one. Found by reading the change again.

Change: an estimate that is compared with its limit without regard to its error uses all times. Proofs of a slowdown, and so version orders, still need three; nothing else changes for them.

--- a/evidence/slowdown.go
+++ b/evidence/slowdown.go
@@ -14,7 +14,8 @@
 	minProofTimes = 8
 	// minLogVariance is the minimum variance assumed for the logarithm of a time.
 	minLogVariance = 0.25
-	// minTimes is the number of times of each version that a pair needs.
+	// minTimes is the number of times of each version that a pair needs. An estimate that
+	// is compared with a limit without regard to its error needs only one.
 	minTimes = 3
 )
 
@@ -38,21 +39,23 @@
 
 // Compare combines the pairs in which both versions have enough times, each weighted by
 // its precision.
-func Compare(pairs []Pair, kind Kind) Slowdown {
+func Compare(pairs []Pair, kind Kind) Slowdown { return compare(pairs, kind, minTimes) }
+
+func compare(pairs []Pair, kind Kind, least float64) Slowdown {
 	deviations, degrees := 0.0, 0.0
 	fromCount, toCount := 0.0, 0.0
-	eachComparable(pairs, kind, func(from, to Times) {
+	eachComparable(pairs, kind, least, func(from, to Times) {
 		fromCount += from.count
 		toCount += to.count
 		deviations += from.squaredDeviations() + to.squaredDeviations()
 		degrees += from.count + to.count - 2
 	})
-	if degrees == 0 {
+	if toCount == 0 {
 		return Slowdown{standardError: math.Inf(1)}
 	}
-	variance := max(minLogVariance, deviations/degrees)
+	variance := max(minLogVariance, deviations/max(1, degrees))
 	weights, sum := 0.0, 0.0
-	eachComparable(pairs, kind, func(from, to Times) {
+	eachComparable(pairs, kind, least, func(from, to Times) {
 		weight := 1 / (variance * (1/from.count + 1/to.count))
 		weights += weight
 		sum += weight * (to.mean() - from.mean())
@@ -60,9 +63,9 @@
 	return Slowdown{log: sum / weights, standardError: 1 / math.Sqrt(weights), from: fromCount, to: toCount}
 }
 
-func eachComparable(pairs []Pair, kind Kind, visit func(from, to Times)) {
+func eachComparable(pairs []Pair, kind Kind, least float64, visit func(from, to Times)) {
 	for i := range pairs {
-		if from, to := kind(&pairs[i].From), kind(&pairs[i].To); from.count >= minTimes && to.count >= minTimes {
+		if from, to := kind(&pairs[i].From), kind(&pairs[i].To); from.count >= least && to.count >= least {
 			visit(from, to)
 		}
 	}
@@ -70,10 +73,14 @@
 
 // Slower describes the first kind of times for which the condition holds.
 func Slower(pairs []Pair, holds func(Slowdown) bool) (string, bool) {
-	if s := Compare(pairs, FirstEvents); holds(s) {
+	return slower(pairs, minTimes, holds)
+}
+
+func slower(pairs []Pair, least float64, holds func(Slowdown) bool) (string, bool) {
+	if s := compare(pairs, FirstEvents, least); holds(s) {
 		return s.String() + " as long as those of the old version", true
 	}
-	if s := Compare(pairs, Intervals); holds(s) {
+	if s := compare(pairs, Intervals, least); holds(s) {
 		return s.String() + " as long between events as those of the old version", true
 	}
 	return "", false
--- a/evidence/verdict.go
+++ b/evidence/verdict.go
@@ -63,7 +63,7 @@
 	if limits.Slowdown <= 0 {
 		return "", false
 	}
-	if times, slow := Slower([]Pair{pair}, func(s Slowdown) bool { return s.Above(limits.Slowdown, 0) }); slow {
+	if times, slow := slower([]Pair{pair}, 1, func(s Slowdown) bool { return s.Above(limits.Slowdown, 0) }); slow {
 		return "responses seem to take " + times, true
 	}
 	return "", false
--- a/moves/decide_test.go
+++ b/moves/decide_test.go
@@ -142,6 +142,16 @@
 	require.Equal(t, pb.MovePhase_MOVE_PHASE_DONE, decide(time.Minute, WindowOf(start)).Phase)
 }
 
+// Guards against a step on a single slow request where the move asks for no more evidence.
+func TestSingleSlowRequestPreventsTheStep(t *testing.T) {
+	move, window := testMove(), WindowOf(start)
+	move.MinRequests = 1
+	for from, to := range map[int64]int64{1000: 1, 1: 2} {
+		_, ok := sufficient(move, series(window, from, 0, time.Second), series(window, to, 0, 3*time.Second), window)
+		require.False(t, ok, "%d and %d requests", from, to)
+	}
+}
+
 // Guards against a good version that waits indefinitely at full share because the old
 // version gets no more requests and its last few happened to be fast.
 func TestFullShareDespiteFastRecentBaseline(t *testing.T) {
