instance: crash lines name the content of the request

The lines of a crash named the request's id, which is new with each attempt, so requests that crash targets one after the other could not be told from requests that happened to be on the same target. `target crashed under a request` now has the fingerprint that crash records go by, and a new line appears when requests with equal content are refused.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -339,7 +339,7 @@
 	defer cancel()
 	if a.gateway.settings.Pool.RefusesConnections(probe, a.target()) {
 		a.gateway.settings.Log.Info("target crashed under a request", requestFields(a.req, zap.String(field.Target, a.slot.target.ID),
-			zap.Int(field.Events, a.events), zap.Uint64s(field.SharedParts, a.req.call.SharedParts))...)
+			zap.Uint64(field.Fingerprint, a.req.fingerprint), zap.Int(field.Events, a.events), zap.Uint64s(field.SharedParts, a.req.call.SharedParts))...)
 		return pb.Result_RESULT_TARGET_DIED
 	}
 	return pb.Result_RESULT_FAILED
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -49,9 +49,12 @@
 	quarantined := i.crashes.entries(now)
 	i.log.Warn("crash records updated", zap.Int(field.CrashRecords, len(quarantined)))
 	for _, e := range changed {
-		if e.Part {
-			i.log.Warn("targets crashed under a prompt part", zap.Uint64(field.Part, e.Fingerprint),
-				zap.Int(field.Crashes, e.Crashes), zap.Strings(field.Targets, e.CrashedTargets))
+		crashes := []zap.Field{zap.Int(field.Crashes, e.Crashes), zap.Strings(field.Targets, e.CrashedTargets)}
+		switch {
+		case e.Part:
+			i.log.Warn("targets crashed under a prompt part", append(crashes, zap.Uint64(field.Part, e.Fingerprint))...)
+		case i.crashes.isRefused(now, e.Fingerprint):
+			i.log.Warn("targets crashed under requests with equal content", append(crashes, zap.Uint64(field.Fingerprint, e.Fingerprint))...)
 		}
 	}
 	i.shared.SetQuarantined(quarantined)
@@ -111,6 +114,14 @@
 	return cleared
 }
 
+// isRefused reports whether requests with the fingerprint are refused.
+func (c *crashes) isRefused(now time.Time, fingerprint uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdict, _ := c.records.Verdict(now, fingerprint)
+	return verdict == scheduler.VerdictQuarantined
+}
+
 func (c *crashes) entries(now time.Time) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -52,6 +52,8 @@
 	Bytes = "bytes"
 	// Events is the number of stream events received from the target.
 	Events = "events"
+	// Fingerprint is the hash by which crash records identify the content of a request; 0 if it has none.
+	Fingerprint = "fingerprint"
 	// SharedParts are the hashes of the parts of the prompt that other requests may share.
 	SharedParts = "shared_parts"
 	// Complete is set if the whole response was forwarded to the caller.
