--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -95,37 +95,57 @@
 // the refusal of other requests.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	t.Parallel()
+	requireQuarantined(t, http.MethodPost, "same body", "other body")
+}
+
+// Guards against crashes that are not recorded because the request has no body.
+func TestCrashingRequestWithoutBodyIsQuarantined(t *testing.T) {
+	t.Parallel()
+	requireQuarantined(t, http.MethodGet, "", "")
+}
+
+// requireQuarantined sends requests that crash each worker that runs them and checks that
+// they are refused and that other requests are served.
+func requireQuarantined(t *testing.T, method, body, otherBody string) {
+	t.Helper()
 	env := newTestEnv(t)
 	var crashed atomic.Int64
 	for i := range 6 {
-		var self *worker.Worker
-		var assigned sync.WaitGroup
-		assigned.Add(1)
-		self = env.worker(fmt.Sprintf("w-%d", i), func(_ int, r *http.Request) worker.Behaviour {
-			assigned.Wait()
-			if strings.HasSuffix(r.URL.Path, "/poison") {
-				crashed.Add(1)
-				go self.Close()
-				return worker.Hang
-			}
-			return worker.Serve
-		})
-		assigned.Done()
+		env.crashingWorker(fmt.Sprintf("w-%d", i), &crashed)
 	}
 	env.configure(testRoutes(), []string{testKey}, 0)
 	nodes := []*node{env.start("i1"), env.start("i2")}
 	waitForFleet(t, nodes)
 	for n := range 12 {
-		got := nodes[n%2].call(t, http.MethodPost, "/safe/poison", "same body", nil)
+		got := nodes[n%2].call(t, method, "/safe/poison", body, nil)
 		require.NotEqual(t, http.StatusOK, got.status)
 		time.Sleep(250 * time.Millisecond) // longer than the report interval
 	}
 	require.LessOrEqual(t, crashed.Load(), int64(3), "the required bound")
 	for _, n := range nodes {
-		require.Equal(t, http.StatusOK, n.call(t, http.MethodPost, "/safe/1", "other body", nil).status)
+		require.Equal(t, http.StatusOK, n.call(t, method, "/safe/1", otherBody, nil).status)
 	}
 }
 
+// crashingWorker starts a worker that crashes when it runs a request whose path ends with
+// /poison, and counts the crashes.
+func (env *testEnv) crashingWorker(id string, crashed *atomic.Int64) *worker.Worker {
+	var self *worker.Worker
+	var assigned sync.WaitGroup
+	assigned.Add(1)
+	self = env.worker(id, func(_ int, r *http.Request) worker.Behaviour {
+		assigned.Wait()
+		if strings.HasSuffix(r.URL.Path, "/poison") {
+			crashed.Add(1)
+			go self.Close()
+			return worker.Hang
+		}
+		return worker.Serve
+	})
+	assigned.Done()
+	return self
+}
+
 // Guards against a fleet that does not start after all instances ended at once, or that
 // starts with an outdated configuration.
 func TestRestartOfAllInstances(t *testing.T) {
