gateway: requests without a body are recorded when their target crashes

Cause: the fingerprint was 0 for requests without a body, and crash records ignore 0. The method, host, path and key tell such requests apart well enough; the host was missing from the fingerprint altogether. Evidence: all crash lines of the route of the reads have fingerprint 0, and the record's lines come from requests with a body only. Ruled out: records cleared by requests with equal content that are served (there was no record), and records that reach the peers late (records of requests with a body arrive within 0.2 s).

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -44,7 +44,7 @@
 	host      string
 	body      []byte
 	cost      float64
-	// fingerprint identifies the request when the caller retries it.
+	// fingerprint identifies the content of the request.
 	fingerprint uint64
 	// sends counts the attempts of which a target may have read a byte.
 	sends int
@@ -209,14 +209,11 @@
 	}
 }
 
-// fingerprint returns a hash that identifies the request when the caller retries it.
-// It is 0 for requests without a body, because it could not distinguish them.
+// fingerprint returns a hash that identifies the content of the request, which is the same
+// when the caller sends it again.
 func fingerprint(req *request) uint64 {
-	if len(req.body) == 0 {
-		return 0
-	}
 	digest := xxhash.New()
-	for _, part := range []string{req.method, req.uri, req.call.Key} {
+	for _, part := range []string{req.method, req.host, req.uri, req.call.Key} {
 		_, _ = digest.WriteString(part) // xxhash never fails
 		_, _ = digest.Write([]byte{0})
 	}
