scheduler: targets that crash together are one crash of a request

Requests without a body are often equal: many callers read the same path. Once they have a fingerprint, a failure of two targets at once would refuse such a read on all instances for 10 minutes, because each target counts and instances add up what they hear. Records of prompt parts already count a crash only if the request was granted after the last one was known; records of whole requests do the same now, and peers take the count of the sender. A record keeps the last 6 targets, because a content that many share may be on many targets that crash; a record that is full changes only with its count.

TestTargetsThatCrashTogetherAreOneCrash fails before (refused).

--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -18,8 +18,7 @@
 	// partRetryFactor.
 	partRetryBackoff = 10 * time.Second
 	partRetryFactor  = 4
-	// maxPartTargets and maxPartCompanions bound a record, and so its size in reports.
-	maxPartTargets    = 6
+	// maxPartCompanions bounds a record, as maxRecordTargets does.
 	maxPartCompanions = 4
 )
 
@@ -99,12 +98,12 @@
 		r = &partRecord{}
 		q.parts[e.Fingerprint] = r
 	}
-	unseen := addUnseen(&r.targets, e.CrashedTargets)
-	if unseen == 0 {
+	unseen := unseenTargets(r.targets, e.CrashedTargets)
+	if len(unseen) == 0 {
 		return false
 	}
-	r.targets = r.targets[max(0, len(r.targets)-maxPartTargets):]
-	r.crashes = max(r.crashes, min(r.crashes+unseen, e.Crashes))
+	r.targets = lastTargets(append(r.targets, unseen...))
+	r.crashes = max(r.crashes, min(r.crashes+len(unseen), e.Crashes))
 	r.companions = slices.Clone(e.Companions[:min(len(e.Companions), maxPartCompanions)])
 	r.last, r.until = now, now.Add(e.ValidFor)
 	return true
@@ -257,7 +256,7 @@
 
 // recordCrash records a crash of a run's target for the request and its parts.
 func (g *Group) recordCrash(now time.Time, r *run, begun bool) {
-	g.quarantine.RecordCrash(now, r.ticket.Fingerprint, r.target.Name, begun)
+	g.quarantine.RecordCrash(now, r.ticket.Fingerprint, r.target.Name, begun, r.granted)
 	if begun {
 		return
 	}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -15,6 +15,8 @@
 	// QuarantineCrashes is the number of different crashed targets, without a success in
 	// between, that quarantines a suspect.
 	QuarantineCrashes = 2
+	// maxRecordTargets bounds a record, and so its size in reports.
+	maxRecordTargets = 6
 	// maxQuarantineRecords bounds the memory. A new record replaces the one that
 	// expires first.
 	maxQuarantineRecords = 4096
@@ -63,13 +65,14 @@
 }
 
 type quarantineRecord struct {
-	// crashed lists the crashed targets, including those before the last success, so that
-	// a late entry from a peer does not count again.
+	// crashed lists the last crashed targets, including those before the last success, so
+	// that a late entry from a peer does not count again.
 	crashed []string
 	// crashes counts the crashes since the request was last served. Sound requests with the
 	// same content are served in between, a request that crashes targets is not.
 	crashes int
-	until   time.Time
+	// counted is when a crash was last counted.
+	counted, until time.Time
 	// begun is set if the request had begun to receive its response before each of these
 	// crashes. A request that crashes targets mostly does so before, so one such crash
 	// makes no suspect.
@@ -82,11 +85,22 @@
 }
 
 // RecordCrash records that the target crashed while it ran the request; begun states
-// that the request had begun to receive its response. A further report for the same
-// target changes nothing. RecordCrash reports whether the record changed, so that the
-// change can be sent to peers. Fingerprint 0 is ignored.
-func (q *Quarantine) RecordCrash(now time.Time, fingerprint uint64, target string, begun bool) bool {
-	return q.add(now, QuarantineEntry{Fingerprint: fingerprint, ValidFor: SuspectDuration, CrashedTargets: []string{target}, Begun: begun})
+// that the request had begun to receive its response. A request that was granted before
+// the last crash was known is no further evidence: a failure of many targets at once would
+// otherwise count for each of them. A further report for the same target changes nothing.
+// RecordCrash reports whether the record changed, so that the change can be sent to peers.
+// Fingerprint 0 is ignored.
+func (q *Quarantine) RecordCrash(now time.Time, fingerprint uint64, target string, begun bool, granted time.Time) bool {
+	crashes := 1
+	if r, ok := q.records[fingerprint]; ok && now.Before(r.until) && r.crashes > 0 {
+		crashes = r.crashes
+		if !granted.Before(r.counted) {
+			crashes++
+		}
+	}
+	return q.add(now, QuarantineEntry{
+		Fingerprint: fingerprint, ValidFor: SuspectDuration, CrashedTargets: []string{target}, Crashes: crashes, Begun: begun,
+	})
 }
 
 // RecordSuccess clears a suspect that a target served. A quarantined fingerprint
@@ -164,32 +178,37 @@
 		r = &quarantineRecord{}
 		q.records[e.Fingerprint] = r
 	}
-	unseen := addUnseen(&r.crashed, e.CrashedTargets)
-	if unseen == 0 {
+	unseen := unseenTargets(r.crashed, e.CrashedTargets)
+	crashes := r.crashes + len(unseen)
+	if e.Crashes > 0 {
+		crashes = max(r.crashes, min(crashes, e.Crashes))
+	}
+	if len(unseen) == 0 || crashes == r.crashes && len(r.crashed) == maxRecordTargets {
 		return false
 	}
 	r.begun = e.Begun && (r.begun || r.crashes == 0)
-	if served := e.Crashes > 0 && e.Crashes < len(e.CrashedTargets); served {
-		r.crashes = max(r.crashes, min(r.crashes+unseen, e.Crashes))
-	} else {
-		r.crashes += unseen
+	if crashes > r.crashes {
+		r.crashes, r.counted = crashes, now
 	}
-	slices.Sort(r.crashed)
+	r.crashed = lastTargets(append(r.crashed, unseen...))
 	r.until = later(r.until, now.Add(e.ValidFor))
 	return true
 }
 
-// addUnseen adds the targets that known does not contain and returns their number.
-func addUnseen(known *[]string, targets []string) int {
-	before := len(*known)
+// unseenTargets returns the targets that known does not contain.
+func unseenTargets(known, targets []string) []string {
+	var unseen []string
 	for _, target := range targets {
-		if !slices.Contains(*known, target) {
-			*known = append(*known, target)
+		if !slices.Contains(known, target) && !slices.Contains(unseen, target) {
+			unseen = append(unseen, target)
 		}
 	}
-	return len(*known) - before
+	return unseen
 }
 
+// lastTargets returns the targets that a record keeps.
+func lastTargets(targets []string) []string { return targets[max(0, len(targets)-maxRecordTargets):] }
+
 func (q *Quarantine) evictIfFull(now time.Time) {
 	if len(q.records) < maxQuarantineRecords {
 		return
