scheduler: full records of prompt parts stop changing

Three instances whose records of a part hold different targets replaced each other's lists for ever: each change was logged, passed to the groups and moved the time of the next try, so the part stayed refused. A full record changes only with its count, like that of a whole request.

TestRecordsOfManyCrashesSettle fails before for parts (still changes after ten rounds) and passes now.

--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -99,11 +99,12 @@
 		q.parts[e.Fingerprint] = r
 	}
 	unseen := unseenTargets(r.targets, e.CrashedTargets)
-	if len(unseen) == 0 {
+	crashes := max(r.crashes, min(r.crashes+len(unseen), e.Crashes))
+	if len(unseen) == 0 || crashes == r.crashes && len(r.targets) == maxRecordTargets {
 		return false
 	}
 	r.targets = lastTargets(append(r.targets, unseen...))
-	r.crashes = max(r.crashes, min(r.crashes+len(unseen), e.Crashes))
+	r.crashes = crashes
 	r.companions = slices.Clone(e.Companions[:min(len(e.Companions), maxPartCompanions)])
 	r.last, r.until = now, now.Add(e.ValidFor)
 	return true
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -113,7 +113,7 @@
 // other changes of a full record for ever.
 func TestRecordsOfManyCrashesSettle(t *testing.T) {
 	const instances = 3
-	for _, part := range []bool{false} {
+	for _, part := range []bool{false, true} {
 		var all []*Quarantine
 		for range instances {
 			all = append(all, NewQuarantine())
