gateway: a send after a crash opens a new connection

A sound read was refused on all instances for 10 minutes: two targets crashed at the same moment, the read was on one of them and was sent again, 1 ms later, on a kept connection to the other. Both counted as crashes under it. The target that does not run a request tells nothing about it, and on a kept connection that cannot be seen. The next send of a request whose target crashed now opens a connection; if it is refused, the request was not sent, and the idle connections to that target are dropped.

TestSecondSendToACrashedWorkerIsNoCrash fails before on each run (refused for the 4 s that it waits).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -30,6 +30,8 @@
 	Body   []byte
 	// Matches reports whether a response's header belongs to this request.
 	Matches func(http.Header) bool
+	// NewConnection keeps the request off idle connections, whose target may have crashed.
+	NewConnection bool
 }
 
 // Error is a failed send. It records how far the send progressed.
@@ -74,7 +76,7 @@
 // so connections to an earlier owner of the address are not used. The error is an
 // *Error; it wraps the context's cause if the context has ended.
 func (p *Pool) Do(ctx context.Context, target Target, request *Request) (*Response, error) {
-	c, err := p.get(ctx, target)
+	c, err := p.get(ctx, target, request.NewConnection)
 	if err != nil {
 		return nil, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), Err: cause(ctx, err)}
 	}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -130,8 +130,8 @@
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, target Target) (*conn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, target Target, newConnection bool) (*conn, error) {
+	for !newConnection {
 		c := p.takeIdle(target)
 		if c == nil {
 			break
@@ -145,6 +145,9 @@
 		c.abort()
 	}
 	opened, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.Drop(target) // the target has crashed, and its other connections are about to break
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -50,6 +50,8 @@
 	sends int
 	// possiblyRan is set once a target may have run the request.
 	possiblyRan bool
+	// targetCrashed is set once a target has crashed under the request.
+	targetCrashed bool
 	// tried lists the targets of earlier attempts.
 	tried []string
 	// queued is the time spent waiting for a slot. firstByte is the time from the
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -297,6 +297,9 @@
 			id := codec.DecodeResponse(0, h).RequestID
 			return id == "" || id == a.req.call.ID
 		},
+		// The next target may have crashed at the same moment. Only on a new connection
+		// does another crash tell that the request caused it.
+		NewConnection: a.req.targetCrashed,
 	})
 }
 
@@ -340,6 +343,7 @@
 	if a.gateway.settings.Pool.RefusesConnections(probe, a.target()) {
 		a.gateway.settings.Log.Info("target crashed under a request", requestFields(a.req, zap.String(field.Target, a.slot.target.ID),
 			zap.Uint64(field.Fingerprint, a.req.fingerprint), zap.Int(field.Events, a.events), zap.Uint64s(field.SharedParts, a.req.call.SharedParts))...)
+		a.req.targetCrashed = true
 		return pb.Result_RESULT_TARGET_DIED
 	}
 	return pb.Result_RESULT_FAILED
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -127,6 +127,43 @@
 	}
 }
 
+// Guards against the refusal of a sound request that is sent again, on a kept connection,
+// to a worker that has crashed at the same time as the first one.
+func TestSecondSendToACrashedWorkerIsNoCrash(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	var workers []*worker.Worker
+	var started sync.WaitGroup
+	started.Add(1)
+	script := func(_ int, r *http.Request) worker.Behaviour {
+		started.Wait()
+		if !strings.HasSuffix(r.URL.Path, "/crash") {
+			time.Sleep(50 * time.Millisecond) // so that concurrent requests use both workers
+			return worker.Serve
+		}
+		for _, w := range workers {
+			_ = w.Listener.Close() // the second request finds it closed
+		}
+		return worker.LoseResponse
+	}
+	workers = []*worker.Worker{env.worker("w-a", script), env.worker("w-b", script)}
+	started.Done()
+	env.configure(testRoutes(), []string{testKey}, 0)
+	n := env.start("i1")
+	var callers sync.WaitGroup
+	for range 2 {
+		callers.Go(func() { n.call(t, http.MethodGet, "/safe/1", "", nil) })
+	}
+	callers.Wait()
+	for _, w := range workers {
+		require.Equal(t, 1, w.Opened(), "each worker has a kept connection")
+	}
+	n.call(t, http.MethodGet, "/safe/crash", "", nil)
+	env.worker("w-c", worker.Always(worker.Serve))
+	require.Eventually(t, func() bool { return n.call(t, http.MethodGet, "/safe/crash", "", nil).status == http.StatusOK },
+		contactTime, 50*time.Millisecond)
+}
+
 // crashingWorker starts a worker that crashes when it runs a request whose path ends with
 // /poison, and counts the crashes.
 func (env *testEnv) crashingWorker(id string, crashed *atomic.Int64) *worker.Worker {
