scheduler: a request is not refused for crashes that another one explains

A read that many callers send is in flight on most targets. When another request crashes two targets one after the other, such a read is often on both, the second time because both were sent again to the same idle target, and was refused for 10 minutes on all instances. A record now names the targets that crashed since the request was last served; a request is not refused while another one crashed all of these and more. If both crashed the same two, the next crash decides. The request stays a suspect, runs alone and clears its record.

--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -42,10 +42,11 @@
 type QuarantineEntry struct {
 	Fingerprint uint64
 	ValidFor    time.Duration
-	// CrashedTargets lists the targets that crashed while they ran the request.
+	// CrashedTargets lists the last targets that crashed while they ran the request, since
+	// it was last served.
 	CrashedTargets []string
-	// Crashes counts the crashes since the request was last served; 0 stands for all of
-	// CrashedTargets.
+	// Crashes counts those of which each was known before the request was granted again; 0
+	// stands for all of them.
 	Crashes int
 	// Begun is set if the request had begun to receive its response on each of them.
 	Begun bool
@@ -65,11 +66,14 @@
 }
 
 type quarantineRecord struct {
-	// crashed lists the last crashed targets, including those before the last success, so
-	// that a late entry from a peer does not count again.
+	// known lists the last targets that crashed under the request, including those before
+	// the last success, so that a late entry from a peer does not count again.
+	known []string
+	// crashed lists those since the request was last served. Sound requests with the same
+	// content are served in between, a request that crashes targets is not.
 	crashed []string
-	// crashes counts the crashes since the request was last served. Sound requests with the
-	// same content are served in between, a request that crashes targets is not.
+	// crashes counts the crashes of crashed of which each was known before the request was
+	// granted again.
 	crashes int
 	// counted is when a crash was last counted.
 	counted, until time.Time
@@ -106,8 +110,8 @@
 // RecordSuccess clears a suspect that a target served. A quarantined fingerprint
 // stays quarantined.
 func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) {
-	if r, ok := q.records[fingerprint]; ok && r.verdict(now) != VerdictQuarantined {
-		r.crashes = 0
+	if r, ok := q.records[fingerprint]; ok && q.verdict(now, r) != VerdictQuarantined {
+		r.crashes, r.crashed = 0, nil
 	}
 }
 
@@ -117,7 +121,7 @@
 	if !ok {
 		return VerdictClean, 0
 	}
-	v := r.verdict(now)
+	v := q.verdict(now, r)
 	if v == VerdictClean {
 		return v, 0
 	}
@@ -178,18 +182,19 @@
 		r = &quarantineRecord{}
 		q.records[e.Fingerprint] = r
 	}
-	unseen := unseenTargets(r.crashed, e.CrashedTargets)
+	unseen := unseenTargets(r.known, e.CrashedTargets)
 	crashes := r.crashes + len(unseen)
 	if e.Crashes > 0 {
 		crashes = max(r.crashes, min(crashes, e.Crashes))
 	}
-	if len(unseen) == 0 || crashes == r.crashes && len(r.crashed) == maxRecordTargets {
+	if len(unseen) == 0 || crashes == r.crashes && len(r.known) == maxRecordTargets {
 		return false
 	}
 	r.begun = e.Begun && (r.begun || r.crashes == 0)
 	if crashes > r.crashes {
 		r.crashes, r.counted = crashes, now
 	}
+	r.known = lastTargets(append(r.known, unseen...))
 	r.crashed = lastTargets(append(r.crashed, unseen...))
 	r.until = later(r.until, now.Add(e.ValidFor))
 	return true
@@ -227,18 +232,34 @@
 	delete(q.records, first)
 }
 
-func (r *quarantineRecord) verdict(now time.Time) Verdict {
+func (q *Quarantine) verdict(now time.Time, r *quarantineRecord) Verdict {
 	switch {
-	case !now.Before(r.until):
+	case !now.Before(r.until), r.crashes == 0:
 		return VerdictClean
-	case r.crashes >= QuarantineCrashes:
+	case r.crashes >= QuarantineCrashes && !q.isExplained(now, r):
 		return VerdictQuarantined
-	case r.crashes == 0 || r.begun:
+	case r.begun && r.crashes < QuarantineCrashes:
 		return VerdictClean
 	}
 	return VerdictSuspect
 }
 
+// isExplained reports whether another request ran on all of the crashed targets and crashed
+// more of them, so that a sound request whose content many callers send is not blamed for
+// it. If both have crashed the same two targets, either may be the cause, and the next
+// crash tells.
+func (q *Quarantine) isExplained(now time.Time, r *quarantineRecord) bool {
+	for _, other := range q.records {
+		if other == r || !now.Before(other.until) || len(unseenTargets(other.crashed, r.crashed)) > 0 {
+			continue
+		}
+		if len(other.crashed) > len(r.crashed) || len(r.crashed) == QuarantineCrashes {
+			return true
+		}
+	}
+	return false
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
