scheduler: failures of equal requests eject a target that others serve

A failure counts again once any target has served the same content: then the fault is the target's. That an entry cannot reach a target is never the request's fault and always counts.

TestFailuresOfEqualRequestsEject shows it without a network and fails before.

--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -51,6 +51,9 @@
 	// reservedTarget is the target that drains for a suspect.
 	reservedTarget *targetState
 	quarantine     *Quarantine
+	// failedContent holds, by the fingerprint of a request that failed, the targets of
+	// which it may be the last failure.
+	failedContent map[uint64][]*targetState
 	// failureRate is the moving average of served and failed completions, 1 for a
 	// failure.
 	failureRate float64
@@ -99,18 +102,19 @@
 func NewGroup(cfg GroupConfig, rng *rand.Rand) *Group {
 	cfg = cfg.withDefaults()
 	return &Group{
-		cfg:        cfg,
-		rng:        rng,
-		targets:    make(map[string]*targetState),
-		sets:       make(map[string]*versionSet),
-		holders:    make(holders),
-		links:      newLinks(cfg.Links),
-		queue:      newQueue(),
-		running:    make(map[TicketID]*run),
-		unbegun:    make(map[uint64][]*run),
-		reclaimed:  make(map[TicketID]*run),
-		quarantine: NewQuarantine(),
-		floor:      newFloor(cfg.Siblings, cfg.LowestTier),
+		cfg:           cfg,
+		rng:           rng,
+		targets:       make(map[string]*targetState),
+		sets:          make(map[string]*versionSet),
+		holders:       make(holders),
+		links:         newLinks(cfg.Links),
+		queue:         newQueue(),
+		running:       make(map[TicketID]*run),
+		unbegun:       make(map[uint64][]*run),
+		reclaimed:     make(map[TicketID]*run),
+		quarantine:    NewQuarantine(),
+		failedContent: make(map[uint64][]*targetState),
+		floor:         newFloor(cfg.Siblings, cfg.LowestTier),
 	}
 }
 
@@ -206,7 +210,9 @@
 	if !ok {
 		return
 	}
-	g.targetFailed(now, &run{ticket: *t, target: s, granted: now}, false)
+	unreachable := *t
+	unreachable.Fingerprint = 0 // no fault of the request
+	g.targetFailed(now, &run{ticket: unreachable, target: s, granted: now}, false)
 	g.refreshOpen(s)
 }
 
@@ -348,6 +354,7 @@
 func (g *Group) recordServed(now time.Time, r *run, c Completion) {
 	s := r.target
 	g.quarantine.RecordSuccess(now, r.ticket.Fingerprint)
+	g.contentServed(r.ticket.Fingerprint)
 	g.markBegun(now, r)
 	batch := (r.batch + s.running + 1) / 2
 	if c.PromptTokens == 0 {
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -81,8 +81,9 @@
 	state    HealthState
 	cause    EjectCause
 	failures int
-	// lastFailed is the fingerprint of the last failed request. Repeated sends of
-	// one request count once, because the fault may be in the request.
+	// lastFailed is the fingerprint of the last failed request, until a target serves a
+	// request with the same content. Until then its repeated sends count once, because the
+	// fault may be in the request.
 	lastFailed uint64
 	backoff    time.Duration
 	// halfOpenSince is when the back-off was found to have ended; recovered is when a
@@ -227,7 +228,34 @@
 
 // targetFailed records a failure of a request at its target.
 func (g *Group) targetFailed(now time.Time, r *run, crashed bool) {
-	r.target.health.failed(now, r, crashed, g.failureLimit(), g.rng)
+	h := &r.target.health
+	h.failed(now, r, crashed, g.failureLimit(), g.rng)
+	if targets := g.failedContent[h.lastFailed]; h.lastFailed != 0 && !slices.Contains(targets, r.target) {
+		g.failedContent[h.lastFailed] = append(targets, r.target)
+	}
+}
+
+// contentServed records that a target served a request, so that failures of requests with
+// the same content are those of their targets.
+func (g *Group) contentServed(fingerprint uint64) {
+	for _, s := range g.failedContent[fingerprint] {
+		if s.health.lastFailed == fingerprint {
+			s.health.lastFailed = 0
+		}
+	}
+	delete(g.failedContent, fingerprint)
+}
+
+// forgetFailedContent deletes what is no longer the last failure of a target.
+func (g *Group) forgetFailedContent() {
+	for fingerprint, targets := range g.failedContent {
+		targets = slices.DeleteFunc(targets, func(s *targetState) bool { return s.removed || s.health.lastFailed != fingerprint })
+		if len(targets) == 0 {
+			delete(g.failedContent, fingerprint)
+			continue
+		}
+		g.failedContent[fingerprint] = targets
+	}
 }
 
 // mayProbe reports whether a ticket may serve as the probe of a half-open target.
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -47,6 +47,28 @@
 	require.Equal(t, HealthEjected, healthOf(g, "a"), "entries fail to reach target a")
 }
 
+// Guards against a target that fails or cannot be reached and is not ejected, because all
+// requests have the same content.
+func TestFailuresOfEqualRequestsEject(t *testing.T) {
+	equal := func(t *Ticket) { t.Fingerprint = 1 }
+	g := testGroup(GroupConfig{}, Target{Name: "a"}, Target{Name: "b"})
+	for i := range ejectFailures {
+		failed, served := testTicket(2*i, equal), testTicket(2*i+1, equal)
+		g.Adopt(t0, failed, "a", 0)
+		g.Complete(t0, ended(2*i, ResultFailed))
+		g.Adopt(t0, served, "b", 0)
+		g.Complete(t0, ended(2*i+1, ResultServed))
+	}
+	require.Equal(t, HealthEjected, healthOf(g, "a"), "target b serves the requests")
+	require.Equal(t, HealthHealthy, healthOf(g, "b"))
+
+	g = testGroup(GroupConfig{}, Target{Name: "a"}, Target{Name: "b"})
+	for i := range ejectFailures {
+		g.Submit(t0, testTicket(i, func(t *Ticket) { t.Fingerprint, t.Avoid = 1, []string{"a"} }))
+	}
+	require.Equal(t, HealthEjected, healthOf(g, "a"), "entries fail to reach target a")
+}
+
 // Guards against probes with requests of higher tiers, against several probes at
 // once, and against a back-off that does not grow.
 func TestHalfOpenProbe(t *testing.T) {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -69,6 +69,7 @@
 		}
 	}
 	g.quarantine.Expire(now)
+	g.forgetFailedContent()
 	g.ejectHanging(now)
 	g.ejectSlow(now)
 	g.queue.prune()
