instance: reports tell which contents were served after a crash

Each instance cleared a suspect content only by its own next success, and one that had not cleared it counted the next crash, 5 s or minutes later, as the second: it refused the content, and all others followed, although they had served it thousands of times since. Reports now name contents that were served after crashes (at most 8, four times each), and peers stop counting these crashes; later ones still count. Old builds ignore the new field.

TestServedEntriesClearEarlierCrashes and TestServedContentsReachPeers test the new code.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -38,7 +38,8 @@
 	// RequestFloor asks the broker of a sibling group to refuse the tiers above
 	// highest. A nil error is its acknowledgement.
 	RequestFloor func(ctx context.Context, sibling GroupKey, from int, highest scheduler.Rank, valid time.Duration) error
-	// OnQuarantine sends suspects and quarantined fingerprints to the other instances.
+	// OnQuarantine sends suspects, quarantined fingerprints and suspects that were served to
+	// the other instances.
 	OnQuarantine func([]scheduler.QuarantineEntry)
 	// OnDecision receives every decision on a ticket. The group waits until it returns.
 	OnDecision func(TracedDecision)
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -143,12 +143,16 @@
 	r.siblingOwners = owners
 }
 
+// publishQuarantine sends new crash records and those of suspects that were served.
 func (r *runner) publishQuarantine() {
-	if !r.targetCrashed || r.hooks.OnQuarantine == nil {
-		return
+	changes := r.group.TakeServedSuspects()
+	if r.targetCrashed {
+		changes = append(changes, r.group.Quarantined(time.Now())...)
 	}
 	r.targetCrashed = false
-	r.hooks.OnQuarantine(r.group.Quarantined(time.Now()))
+	if len(changes) > 0 && r.hooks.OnQuarantine != nil {
+		r.hooks.OnQuarantine(changes)
+	}
 }
 
 // batch handles the event and the queued ones after it, so that entries get few
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -405,6 +405,9 @@
 func (d *Daemon) publishQuarantine(entries []scheduler.QuarantineEntry) {
 	now := time.Now()
 	for _, e := range entries {
+		if e.Served {
+			continue // the facts that instances exchange only grow
+		}
 		d.members.AddQuarantine(membership.Quarantine{
 			Fingerprint: e.Fingerprint, Expires: now.Add(e.ValidFor), CrashedTargets: e.CrashedTargets,
 		})
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -15,7 +15,8 @@
 
 // Limits of the crash records in one report.
 const (
-	// maxNewRecords bounds the records that peers may not have received yet.
+	// maxNewRecords bounds the records that peers may not have received yet, and also the
+	// served contents.
 	maxNewRecords = 8
 	// newRecordReports is the number of reports that contain a new record, so that a
 	// few lost reports do not delay it.
@@ -49,6 +50,12 @@
 	quarantined := i.crashes.entries(now)
 	i.log.Warn("crash records updated", zap.Int(field.CrashRecords, len(quarantined)))
 	for _, e := range changed {
+		if e.Served {
+			quarantined = append(quarantined, e)
+			i.log.Info("crash record cleared, a request with equal content was served", zap.Uint64(field.Fingerprint, e.Fingerprint),
+				zap.Strings(field.Targets, e.CrashedTargets))
+			continue
+		}
 		crashes := []zap.Field{zap.Int(field.Crashes, e.Crashes), zap.Strings(field.Targets, e.CrashedTargets)}
 		switch {
 		case e.Part:
@@ -77,11 +84,21 @@
 	records *scheduler.Quarantine
 	// unsent holds, by fingerprint, in how many more reports a new record is contained.
 	unsent map[uint64]int
+	// served holds the contents that were served after crashes, in the order in which they
+	// are reported.
+	served []servedContent
 	// parts and others choose the repeated records of quarantined prompt parts and of the
 	// rest.
 	parts, others rotation
 }
 
+// servedContent is an entry of a request that was served and the number of reports that
+// still contain it.
+type servedContent struct {
+	entry   scheduler.QuarantineEntry
+	reports int
+}
+
 func newCrashes() *crashes {
 	return &crashes{records: scheduler.NewQuarantine(), unsent: make(map[uint64]int)}
 }
@@ -96,7 +113,11 @@
 			continue
 		}
 		changed = append(changed, e)
-		if source == fromGroup && !e.Begun {
+		switch {
+		case source == fromPeer:
+		case e.Served:
+			c.served = append(c.served, servedContent{e, newRecordReports})
+		case !e.Begun:
 			c.unsent[e.Fingerprint] = newRecordReports
 		}
 	}
@@ -160,6 +181,19 @@
 	return append(report, c.others.next(others, rotatedRecords)...)
 }
 
+// servedForReport returns the served contents for the next report.
+func (c *crashes) servedForReport() []scheduler.QuarantineEntry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var report []scheduler.QuarantineEntry
+	for k := range c.served[:min(len(c.served), maxNewRecords)] {
+		report = append(report, c.served[k].entry)
+		c.served[k].reports--
+	}
+	c.served = slices.DeleteFunc(c.served, func(s servedContent) bool { return s.reports == 0 })
+	return report
+}
+
 // partsFirst sorts the records of prompt parts before the others.
 func partsFirst(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
 	slices.SortStableFunc(entries, func(a, b scheduler.QuarantineEntry) int {
--- a/internal/instance/crashes_test.go
+++ b/internal/instance/crashes_test.go
@@ -66,6 +66,32 @@
 	require.Len(t, late.entries(now), 40)
 }
 
+// Guards against an instance that suspects a request although it was served at another one,
+// and against reports that grow with the number of such requests.
+func TestServedContentsReachPeers(t *testing.T) {
+	const contents = 40
+	now := time.Now()
+	i, peer := newTestEnv(t).assemble("i1"), newTestEnv(t).assemble("i2")
+	entries := crashEntries(contents)
+	i.applyCrashes(entries, fromGroup)
+	peer.applyCrashes(entries, fromPeer)
+	require.Len(t, peer.crashes.entries(now), contents)
+	for k := range entries {
+		entries[k].Served = true
+	}
+	i.applyCrashes(entries, fromGroup)
+	for range newRecordReports * contents / maxNewRecords {
+		m := &pb.FleetReport{Instance: "i1"}
+		i.fillReport(m)
+		require.LessOrEqual(t, len(m.GetServedContents()), maxNewRecords)
+		peer.applyReport(m)
+	}
+	require.Empty(t, peer.crashes.entries(now))
+	m := &pb.FleetReport{}
+	i.fillReport(m)
+	require.Empty(t, m.GetServedContents(), "each is sent a few times only")
+}
+
 // Guards against an instance that starts, owns a broker at once and does not know the
 // quarantined prompt parts, because the records take their turn among many others.
 func TestQuarantinedPartsAreInEachReport(t *testing.T) {
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -103,6 +103,9 @@
 			Part: c.Part, Crashes: uint32(c.Crashes), Companions: c.Companions,
 		})
 	}
+	for _, c := range i.crashes.servedForReport() {
+		m.ServedContents = append(m.ServedContents, &pb.ServedContent{Fingerprint: c.Fingerprint, Targets: c.CrashedTargets})
+	}
 }
 
 // applyReport applies a peer's report: its quota usage, its version evidence and its
@@ -127,6 +130,11 @@
 			Part: c.GetPart(), Crashes: int(c.GetCrashes()), Companions: c.GetCompanions(),
 		})
 	}
+	for _, c := range m.GetServedContents() {
+		entries = append(entries, scheduler.QuarantineEntry{
+			Fingerprint: c.GetFingerprint(), ValidFor: scheduler.SuspectDuration, CrashedTargets: c.GetTargets(), Served: true,
+		})
+	}
 	i.applyCrashes(entries, fromPeer)
 }
 
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -51,6 +51,8 @@
 	// reservedTarget is the target that drains for a suspect.
 	reservedTarget *targetState
 	quarantine     *Quarantine
+	// servedSuspects holds the entries of suspects served since TakeServedSuspects.
+	servedSuspects []QuarantineEntry
 	// failedContent holds, by the fingerprint of a request that failed, the targets of
 	// which it may be the last failure.
 	failedContent map[uint64][]*targetState
@@ -353,7 +355,9 @@
 
 func (g *Group) recordServed(now time.Time, r *run, c Completion) {
 	s := r.target
-	g.quarantine.RecordSuccess(now, r.ticket.Fingerprint)
+	if e, ok := g.quarantine.RecordSuccess(now, r.ticket.Fingerprint); ok {
+		g.servedSuspects = append(g.servedSuspects, e)
+	}
 	g.contentServed(r.ticket.Fingerprint)
 	g.markBegun(now, r)
 	batch := (r.batch + s.running + 1) / 2
@@ -472,6 +476,14 @@
 	return g.decide(now)
 }
 
+// TakeServedSuspects returns the entries of the suspects that were served since the last
+// call, to send to other instances.
+func (g *Group) TakeServedSuspects() []QuarantineEntry {
+	served := g.servedSuspects
+	g.servedSuspects = nil
+	return served
+}
+
 // Quarantined returns the suspects and quarantined fingerprints to send to other
 // instances.
 func (g *Group) Quarantined(now time.Time) []QuarantineEntry { return g.quarantine.Entries(now) }
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -50,6 +50,9 @@
 	Crashes int
 	// Begun is set if the request had begun to receive its response on each of them.
 	Begun bool
+	// Served states that the request was served after these crashes, so that they are no
+	// evidence against it.
+	Served bool
 	// Part is set if Fingerprint identifies a shared part of prompts. Crashes then counts
 	// the crashes since a request with the part last began, and Companions are other parts
 	// of the prompt of the last one.
@@ -108,11 +111,14 @@
 }
 
 // RecordSuccess clears a suspect that a target served. A quarantined fingerprint
-// stays quarantined.
-func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) {
-	if r, ok := q.records[fingerprint]; ok && q.verdict(now, r) != VerdictQuarantined {
-		r.crashes, r.crashed = 0, nil
+// stays quarantined. RecordSuccess returns the entry for the peers if crashes were counted.
+func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) (QuarantineEntry, bool) {
+	r, ok := q.records[fingerprint]
+	if !ok || r.crashes == 0 || q.verdict(now, r) == VerdictQuarantined {
+		return QuarantineEntry{}, false
 	}
+	r.crashes, r.crashed = 0, nil
+	return QuarantineEntry{Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.known), Served: true}, true
 }
 
 // Verdict returns the treatment of a fingerprint and the time for which it holds.
@@ -182,6 +188,10 @@
 		r = &quarantineRecord{}
 		q.records[e.Fingerprint] = r
 	}
+	if e.Served {
+		r.until = later(r.until, now.Add(e.ValidFor))
+		return r.serve(e)
+	}
 	unseen := unseenTargets(r.known, e.CrashedTargets)
 	crashes := r.crashes + len(unseen)
 	if e.Crashes > 0 {
@@ -200,6 +210,17 @@
 	return true
 }
 
+// serve applies the entry of a peer whose target served the request after some crashes.
+func (r *quarantineRecord) serve(e QuarantineEntry) bool {
+	r.known = lastTargets(append(r.known, unseenTargets(r.known, e.CrashedTargets)...))
+	left := unseenTargets(e.CrashedTargets, r.crashed)
+	if len(left) == len(r.crashed) {
+		return false
+	}
+	r.crashed, r.crashes = left, min(r.crashes, len(left))
+	return true
+}
+
 // unseenTargets returns the targets that known does not contain.
 func unseenTargets(known, targets []string) []string {
 	var unseen []string
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -96,6 +96,54 @@
 	require.Equal(t, VerdictQuarantined, verdict, "a crash of a request that was granted after the others")
 }
 
+// Guards against the refusal of a sound request that ran on targets that another one
+// crashed, and against a request that is not refused because a sound one ran beside it.
+func TestRequestIsNotRefusedForTheCrashesOfAnother(t *testing.T) {
+	const deadly, shared = 7, 8
+	q, now := NewQuarantine(), t0
+	verdicts := func(crashed string, fingerprints ...uint64) [2]Verdict {
+		for _, fingerprint := range fingerprints {
+			q.RecordCrash(now, fingerprint, crashed, false, now)
+		}
+		now = now.Add(time.Second)
+		first, _ := q.Verdict(now, deadly)
+		second, _ := q.Verdict(now, shared)
+		return [2]Verdict{first, second}
+	}
+	require.Equal(t, [2]Verdict{VerdictSuspect, VerdictSuspect}, verdicts("a", deadly, shared))
+	require.Equal(t, [2]Verdict{VerdictSuspect, VerdictSuspect}, verdicts("b", deadly, shared), "either may be the cause")
+	require.Equal(t, [2]Verdict{VerdictQuarantined, VerdictSuspect}, verdicts("c", deadly))
+	q.RecordSuccess(now, shared)
+	require.Equal(t, [2]Verdict{VerdictQuarantined, VerdictClean}, verdicts("c", deadly))
+
+	q = NewQuarantine()
+	for _, target := range []string{"a", "b", "c"} {
+		verdicts(target, deadly, shared)
+	}
+	require.Equal(t, [2]Verdict{VerdictQuarantined, VerdictQuarantined}, verdicts("c"), "three times together and never served")
+}
+
+// Guards against an instance that does not hear that a request was served after crashes at
+// its targets, and against one that forgets later crashes with them.
+func TestServedEntriesClearEarlierCrashes(t *testing.T) {
+	served := func(targets ...string) []QuarantineEntry {
+		return []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: targets, Served: true}}
+	}
+	q := NewQuarantine()
+	require.False(t, q.Merge(t0, served("z")))
+	q.RecordCrash(t0, 7, "a", false, t0)
+	q.RecordCrash(t0, 7, "b", false, t0)
+	verdict, _ := q.Verdict(t0, 7)
+	require.Equal(t, VerdictQuarantined, verdict)
+	require.True(t, q.Merge(t0, served("a")))
+	require.False(t, q.Merge(t0, served("a")))
+	verdict, _ = q.Verdict(t0, 7)
+	require.Equal(t, VerdictSuspect, verdict, "crash b remains")
+	require.True(t, q.Merge(t0, served("a", "b")))
+	require.Empty(t, q.Entries(t0))
+	require.False(t, q.Merge(t0, []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"a", "b", "z"}}}), "late entry")
+}
+
 // Guards against unbounded memory and against repeated entries that count as changes.
 func TestQuarantineBoundsAndMerge(t *testing.T) {
 	q := NewQuarantine()
