instance: refused contents are in each report

An instance that started, or was cut off, when a request was refused heard of it only when the record's turn came: one of the other records is in each report, and a crash leaves up to a hundred. Such an instance places requests of plain services by itself at once. Records of refused contents now take the place that those of refused prompt parts have in each report, and among new records those with most crashes go first.

--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -24,9 +24,9 @@
 	// rotatedRecords is the number of other records. They reach instances that started
 	// or were partitioned when the record was new.
 	rotatedRecords = 1
-	// repeatedParts bounds the quarantined prompt parts in each report. An instance that
-	// has just started may own a broker at once and must know them.
-	repeatedParts = 4
+	// repeatedRecords bounds the records of refused contents and prompt parts in each
+	// report. An instance that has just started places requests at once and must know them.
+	repeatedRecords = 4
 )
 
 // crashSource is where crash records come from.
@@ -87,9 +87,9 @@
 	// served holds the contents that were served after crashes, in the order in which they
 	// are reported.
 	served []servedContent
-	// parts and others choose the repeated records of quarantined prompt parts and of the
-	// rest.
-	parts, others rotation
+	// refused and others choose the repeated records of refused contents and prompt parts,
+	// and of the rest.
+	refused, others rotation
 }
 
 // servedContent is an entry of a request that was served and the number of reports that
@@ -154,14 +154,14 @@
 	return c.records.Entries(now)
 }
 
-// forReport returns the records for the next report: new ones, quarantined parts of
-// prompts, and the next of the others in rotation. Their number does not depend on the
-// number of records.
+// forReport returns the records for the next report: new ones, those of refused contents
+// and prompt parts, and the next of the others in rotation. Their number does not depend on
+// the number of records.
 func (c *crashes) forReport(now time.Time) []scheduler.QuarantineEntry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := partsFirst(c.entriesLocked(now))
-	var report, parts, others []scheduler.QuarantineEntry
+	all := mostCrashesFirst(c.entriesLocked(now))
+	var report, refused, others []scheduler.QuarantineEntry
 	inForce := make(map[uint64]bool, len(all))
 	for _, e := range all {
 		inForce[e.Fingerprint] = true
@@ -170,14 +170,14 @@
 			report = append(report, e)
 			c.unsent[e.Fingerprint]--
 		case c.unsent[e.Fingerprint] > 0:
-		case e.Part && e.Crashes >= scheduler.PartCrashes:
-			parts = append(parts, e)
+		case e.Part && e.Crashes >= scheduler.PartCrashes, !e.Part && e.Crashes >= scheduler.QuarantineCrashes:
+			refused = append(refused, e)
 		default:
 			others = append(others, e)
 		}
 	}
 	maps.DeleteFunc(c.unsent, func(fingerprint uint64, left int) bool { return left == 0 || !inForce[fingerprint] })
-	report = append(report, c.parts.next(parts, repeatedParts)...)
+	report = append(report, c.refused.next(refused, repeatedRecords)...)
 	return append(report, c.others.next(others, rotatedRecords)...)
 }
 
@@ -194,10 +194,13 @@
 	return report
 }
 
-// partsFirst sorts the records of prompt parts before the others.
-func partsFirst(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
+// mostCrashesFirst sorts the records by their crashes, and those of prompt parts before
+// others with as many.
+func mostCrashesFirst(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
 	slices.SortStableFunc(entries, func(a, b scheduler.QuarantineEntry) int {
 		switch {
+		case a.Crashes != b.Crashes:
+			return cmp.Compare(b.Crashes, a.Crashes)
 		case a.Part == b.Part:
 			return 0
 		case a.Part:
--- a/internal/instance/crashes_test.go
+++ b/internal/instance/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -108,3 +109,19 @@
 		}))
 	}
 }
+
+// Guards against an instance that starts and sends a refused request to targets, because
+// the record takes its turn among many others, and against a record that waits behind those
+// of requests that were beside it.
+func TestRefusedContentsAreInEachReport(t *testing.T) {
+	now := time.Now()
+	sender := newCrashes()
+	sender.merge(now, crashEntries(100), fromGroup)
+	content := scheduler.QuarantineEntry{Fingerprint: math.MaxUint64, Crashes: scheduler.QuarantineCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
+	sender.merge(now, []scheduler.QuarantineEntry{content}, fromGroup)
+	for range 200 {
+		late := newCrashes()
+		late.merge(now, sender.forReport(now), fromPeer)
+		require.True(t, late.isRefused(now, content.Fingerprint))
+	}
+}
