scheduler: a crash after the caller has left is recorded

When the caller of a request leaves, its connection to the target is closed and the request is done; the target may go on and crash a moment later.

A group keeps the requests that were cancelled on a target before they began, for 1 s and at most 16. When it learns that the target has crashed, from a request of its own or from a peer's record, they count as requests that were on it. The other rules of the records protect sound ones.

TestCrashAfterCancellationIsRecorded fails before. Remains: if nobody but refused new connections notices the crash, no request is blamed.

--- a/broker/runner.go
+++ b/broker/runner.go
@@ -48,8 +48,6 @@
 	hooks         Hooks
 	trace         *tracer
 	spans         spans
-	// targetCrashed is set by a completion that may have changed the quarantine.
-	targetCrashed bool
 	log           *zap.Logger
 	done          chan struct{}
 	// ctx ends when the group is stopped; done is closed when its goroutine has ended.
@@ -146,10 +144,9 @@
 // publishQuarantine sends new crash records and those of suspects that were served.
 func (r *runner) publishQuarantine() {
 	changes := r.group.TakeServedSuspects()
-	if r.targetCrashed {
+	if r.group.TakeCrashRecorded() {
 		changes = append(changes, r.group.Quarantined(time.Now())...)
 	}
-	r.targetCrashed = false
 	if len(changes) > 0 && r.hooks.OnQuarantine != nil {
 		r.hooks.OnQuarantine(changes)
 	}
@@ -291,7 +288,6 @@
 			decisions = append(decisions, r.group.Begun(now, ticketID(s.hello, sequence))...)
 		}
 		for _, c := range m.GetComplete() {
-			r.targetCrashed = r.targetCrashed || c.GetResult() == pb.Result_RESULT_TARGET_DIED
 			decisions = append(decisions, r.group.Complete(now, toCompletion(s.hello, c))...)
 			r.trace.forget(ticketID(s.hello, c.GetId()))
 		}
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -51,6 +51,8 @@
 	// reservedTarget is the target that drains for a suspect.
 	reservedTarget *targetState
 	quarantine     *Quarantine
+	// crashRecorded is set when a crash is recorded.
+	crashRecorded bool
 	// servedSuspects holds the entries of suspects served since TakeServedSuspects.
 	servedSuspects []QuarantineEntry
 	// failedContent holds, by the fingerprint of a request that failed, the targets of
@@ -333,6 +335,7 @@
 		g.targetFailed(now, r, false)
 	case ResultTargetCrashed:
 		g.recordCrash(now, r, r.begun || c.FirstToken > 0)
+		g.recordCancelled(now, s)
 		g.targetFailed(now, r, true)
 		s.index.clear()
 		s.prefillEnd = now
@@ -347,6 +350,9 @@
 		}
 	case ResultCancelled:
 		g.probeEnded(r)
+		if !r.begun && c.FirstToken == 0 {
+			s.keepCancelled(now, r)
+		}
 	}
 	if c.Result != ResultNotDispatched {
 		s.health.lastDone = now
@@ -468,14 +474,6 @@
 	}
 }
 
-// SetQuarantined merges the suspects and quarantined fingerprints that other
-// instances reported.
-func (g *Group) SetQuarantined(now time.Time, entries []QuarantineEntry) []Decision {
-	g.now = now
-	g.quarantine.Merge(now, entries)
-	return g.decide(now)
-}
-
 // TakeServedSuspects returns the entries of the suspects that were served since the last
 // call, to send to other instances.
 func (g *Group) TakeServedSuspects() []QuarantineEntry {
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -254,15 +254,3 @@
 		r.target.trials--
 	}
 }
-
-// recordCrash records a crash of a run's target for the request and its parts.
-func (g *Group) recordCrash(now time.Time, r *run, begun bool) {
-	g.quarantine.RecordCrash(now, r.ticket.Fingerprint, r.target.Name, begun, r.granted)
-	if begun {
-		return
-	}
-	for k, part := range r.ticket.SharedParts {
-		companions := slices.Delete(slices.Clone(r.ticket.SharedParts), k, k+1)
-		g.quarantine.RecordPartCrash(now, part, r.target.Name, companions, r.granted)
-	}
-}
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -144,6 +144,42 @@
 	require.False(t, q.Merge(t0, []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"a", "b", "z"}}}), "late entry")
 }
 
+// Guards against a request that crashes targets unseen because its callers leave before the
+// crash, and against blame for requests that were cancelled long before it or had begun.
+func TestCrashAfterCancellationIsRecorded(t *testing.T) {
+	const cancelled, other = 7, 8
+	content := func(fingerprint uint64) func(*Ticket) { return func(t *Ticket) { t.Fingerprint = fingerprint } }
+	ownCrash := func(g *Group, now time.Time) {
+		g.Adopt(t0, testTicket(other, nil), "a", 0)
+		g.Complete(now, ended(other, ResultTargetCrashed))
+	}
+	heard := func(g *Group, now time.Time) {
+		g.SetQuarantined(now, []QuarantineEntry{{Fingerprint: other, ValidFor: time.Minute, CrashedTargets: []string{"a"}, Crashes: 1}})
+	}
+	for name, c := range map[string]struct {
+		crash func(*Group, time.Time)
+		first time.Duration // to the first token
+		after time.Duration // from the cancellation to the crash
+		want  Verdict
+	}{
+		"crash of another request": {ownCrash, 0, 50 * time.Millisecond, VerdictSuspect},
+		"crash heard of":           {heard, 0, 400 * time.Millisecond, VerdictSuspect},
+		"long before the crash":    {heard, 0, 2 * time.Second, VerdictClean},
+		"had begun":                {ownCrash, time.Millisecond, 50 * time.Millisecond, VerdictClean},
+	} {
+		g := testGroup(GroupConfig{}, Target{Name: "a", Concurrency: 4}, Target{Name: "b", Concurrency: 4})
+		g.Adopt(t0, testTicket(1, content(cancelled)), "a", 0)
+		g.Adopt(t0, testTicket(2, content(3)), "b", 0)
+		g.Complete(t0, Completion{ID: testID(1), Result: ResultCancelled, FirstToken: c.first})
+		g.Complete(t0, ended(2, ResultCancelled))
+		c.crash(g, t0.Add(c.after))
+		verdict, _ := g.quarantine.Verdict(t0.Add(c.after), cancelled)
+		require.Equal(t, c.want, verdict, name)
+		verdict, _ = g.quarantine.Verdict(t0.Add(c.after), 3)
+		require.Equal(t, VerdictClean, verdict, "on another target")
+	}
+}
+
 // Guards against unbounded memory and against repeated entries that count as changes.
 func TestQuarantineBoundsAndMerge(t *testing.T) {
 	q := NewQuarantine()
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -46,6 +46,8 @@
 	index      *prefixIndex
 	// hanging marks the target for ejection by the current sweep.
 	hanging bool
+	// cancelled holds the last requests that were cancelled here before they began.
+	cancelled []cancelledRun
 	// exclusive is set while a suspect is the only request that may run here.
 	exclusive bool
 	// trials counts the running requests with a suspect part that have not begun.
