Add review case 2: a large output limit stops a group of targets

Cause: chargeLink deducts a request's bytes from the bucket of the link in steps of the bucket's burst. A link without a bandwidth has a burst of one byte, and the output tokens count with 128 bytes each. A caller that sets no limit of output tokens keeps the group's goroutine in this loop; the handlers of later requests then wait for the link's queue without their context.

Change: review/2 holds a script in which the only engine of a zone is lost and one such request is granted to another zone of the region.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 // cases holds the scripted cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(d *deployment, folder string, trouble bool) (bool, error){
 	"lapsed-entries": lapsedEntries,
+	"large-output":   largeOutput,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
