Add review case 3: rows of lost machines take the quotas after a start

Cause: an instance's row in the table of instances is removed by the instance alone, after a SIGTERM. An instance that starts takes each row for a peer, and leaves the peers that do not report their part of all quotas for 25 s.

The stand-ins can start a process again.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -181,7 +181,7 @@
 // startMachine starts the process of the deploy file's role on a new machine of the zone.
 func (d *deployment) startMachine(zone string) error {
 	n := len(d.machines) + 1
-	m := &machine{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("%s.%d", d.base, 10+n), ended: make(chan struct{})}
+	m := &machine{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("%s.%d", d.base, 10+n)}
 	m.settings = filepath.Join(d.dir, m.name+".toml")
 	m.log = filepath.Join(d.dir, m.name+".log")
 	text := fmt.Sprintf(settingsText, m.name, m.ip, zone, regions[zone], firstPort, lastPort, d.base+".11",
@@ -189,6 +189,12 @@
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
+	d.machines = append(d.machines, m)
+	return d.startProcess(m)
+}
+
+// startProcess starts the process of a machine.
+func (d *deployment) startProcess(m *machine) error {
 	run, err := runLine()
 	if err != nil {
 		return err
@@ -204,17 +210,24 @@
 	if err := m.command.Start(); err != nil {
 		return err
 	}
+	ended := make(chan struct{})
+	m.ended = ended
 	go func() {
 		err := m.command.Wait()
 		d.record.write("process of %s ended: %v", m.name, err)
 		_ = log.Close() // the process has ended
-		close(m.ended)
+		close(ended)
 	}()
-	d.machines = append(d.machines, m)
-	d.record.write("machine %s started at %s", m.name, m.ip)
+	d.record.write("process of %s started at %s", m.name, m.ip)
 	return nil
 }
 
+// kill ends the process of a machine without notice.
+func (m *machine) kill() {
+	_ = m.command.Process.Kill() // it may have ended
+	<-m.ended
+}
+
 // runLine returns the command of the role in the deploy file.
 func runLine() ([]string, error) {
 	data, err := os.ReadFile("deploy/system.toml")
@@ -229,12 +242,15 @@
 	return nil, fmt.Errorf("the deploy file has no run line")
 }
 
-// waitReady waits until all machines report ready.
-func (d *deployment) waitReady(timeout time.Duration) error {
+// readyTimeout bounds the wait for machines that start.
+const readyTimeout = 10 * time.Second
+
+// waitReady waits until the machines report ready.
+func waitReady(machines []*machine) error {
 	client := &http.Client{Timeout: time.Second}
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
-		for _, m := range d.machines {
+		for _, m := range machines {
 			response, err := client.Get(fmt.Sprintf("http://%s:%d/basilloom/readyz", m.ip, readyPort))
 			if err != nil {
 				continue
@@ -244,7 +260,7 @@
 				ready++
 			}
 		}
-		if ready == len(d.machines) {
+		if ready == len(machines) {
 			return nil
 		}
 	}
@@ -254,7 +270,6 @@
 // stop ends the processes that the script started.
 func (d *deployment) stop() {
 	for _, m := range d.machines {
-		_ = m.command.Process.Kill() // it may have ended
-		<-m.ended
+		m.kill()
 	}
 }
--- a/review/standin/lapsed.go
+++ b/review/standin/lapsed.go
@@ -47,12 +47,12 @@
 			return false, err
 		}
 	}
-	if err := d.waitReady(10 * time.Second); err != nil {
+	if err := waitReady(d.machines); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
 	c := newClients(d)
-	c.sendFor(beforeOutage, firstRoute)
+	c.sendFor(d.machines, beforeOutage, firstRoute)
 	if trouble {
 		d.record.write("the store is down")
 		d.outage.set(true)
@@ -62,22 +62,22 @@
 	d.record.write("the store is up")
 	time.Sleep(contactTime)
 	d.record.write("the store is stable")
-	c.sendFor(contactTime, firstRoute)
+	c.sendFor(d.machines, contactTime, firstRoute)
 	if err := d.configure(folder + "/config-added.json"); err != nil {
 		return false, err
 	}
-	c.sendFor(applyTime, firstRoute)
-	c.sendFor(afterChange, firstRoute, addedRoute)
+	c.sendFor(d.machines, applyTime, firstRoute)
+	c.sendFor(d.machines, afterChange, firstRoute, addedRoute)
 	c.running.Wait()
 	first, added := served(c.answers, "first"), served(c.answers, "added")
 	d.record.write("of %d requests on the first route %d were served; of %d on the added one %d", first.sent, first.served, added.sent, added.served)
 	return added.sent >= minAdded && 4*added.share() < first.share(), nil
 }
 
-// sendFor sends requests of each kind to all machines for a time.
-func (c *clients) sendFor(d time.Duration, kinds ...call) {
+// sendFor sends requests of each kind to the machines for a time.
+func (c *clients) sendFor(machines []*machine, d time.Duration, kinds ...call) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sendInterval) {
-		for _, m := range c.d.machines {
+		for _, m := range machines {
 			for _, k := range kinds {
 				c.send(m, k)
 			}
--- a/review/standin/largeoutput.go
+++ b/review/standin/largeoutput.go
@@ -46,7 +46,7 @@
 			return false, err
 		}
 	}
-	if err := d.waitReady(10 * time.Second); err != nil {
+	if err := waitReady(d.machines); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(d *deployment, folder string, trouble bool) (bool, error){
 	"lapsed-entries": lapsedEntries,
 	"large-output":   largeOutput,
+	"lost-machines":  lostMachines,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
