--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -224,6 +224,9 @@
 
 // kill ends the process of a machine without notice.
 func (m *machine) kill() {
+	if m.ended == nil {
+		return // it did not start
+	}
 	_ = m.command.Process.Kill() // it may have ended
 	<-m.ended
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -30,11 +29,11 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
-	if len(arguments) != 2 || cases[arguments[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+	if len(arguments) != 3 || cases[arguments[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER RECORD")
 		return exitNotRun
 	}
-	broken, err := play(cases[arguments[0]], arguments[1])
+	broken, err := play(cases[arguments[0]], arguments[1], arguments[2])
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -45,8 +44,9 @@
 	return exitHeld
 }
 
-func play(scenario func(*deployment, string, bool) (bool, error), folder string) (bool, error) {
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
+// play plays a case with the configuration in a folder and writes the record.
+func play(scenario func(*deployment, string, bool) (bool, error), folder, recordPath string) (bool, error) {
+	r, err := newRecord(recordPath)
 	if err != nil {
 		return false, err
 	}
