mirror: changes of a table are applied in the order of the feed

Cause: a response of the feed holds each change of a row in order. The entry of a worker that lapsed during the outage and came back stands in it twice: removed, then with its value. platform.Store.Watch sorted these rows into two lists, and mirror.Table.apply applied all removals after all values, so the removal won. A registry entry changes only when more than its heartbeat number does, so nothing wrote the row again, and the wrong copy had the newest version, so the peers adopted it.

Ruled out: the grace after an outage (targetList.hasLeft) only delays the removal; the copies of peers are compared by digest, and a difference that does not lead to the peer's copy is rejected. Readers of other ordered lists (cache events of engines, settings generations) keep their order. The stand-in of the store sends each change as the platform does; no test wrote a row again after its removal.

Change: Changes.Rows is one ordered list of changes, each a value or a removal.

Test: TestRowWrittenAgainAfterItsRemovalIsKept (mirror); on the code before it fails with expected "2", actual "".

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,10 +26,16 @@
 	Version int64
 }
 
-// Changes holds the rows that changed since a version.
+// Change is the new value of a row, or its removal.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Changes holds the changes since a version in the order in which the store made them. A
+// row may have changed more than once.
 type Changes struct {
-	Rows    []Row
-	Removed []string
+	Rows []Change
 	// Version is the store's version after the changes.
 	Version int64
 }
@@ -349,16 +355,17 @@
 	if t.current.Version != after || changes.Version <= after {
 		return false
 	}
-	if len(changes.Rows) == 0 && len(changes.Removed) == 0 {
+	if len(changes.Rows) == 0 {
 		t.current = &Snapshot{Version: changes.Version, Changed: t.current.Changed, Digest: t.current.Digest, Rows: t.current.Rows}
 		return false
 	}
 	rows := maps.Clone(t.current.Rows)
-	for _, row := range changes.Rows {
-		rows[row.Key] = row
-	}
-	for _, key := range changes.Removed {
-		delete(rows, key)
+	for _, change := range changes.Rows {
+		if change.Removed {
+			delete(rows, change.Key)
+		} else {
+			rows[change.Key] = change.Row
+		}
 	}
 	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Digest: digest(rows), Rows: rows}
 	t.signal()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -186,3 +186,32 @@
 	_, err = other.ApplyFromPeer(difference)
 	require.ErrorIs(t, err, mirror.ErrIncompleteCopy)
 }
+
+// Guards against a live row that is lost because the feed delivers its removal and its new
+// value in one response, as after an outage of the store in which entries lapse.
+func TestRowWrittenAgainAfterItsRemovalIsKept(t *testing.T) {
+	store, server, table := startTable(t)
+	put := func(key, value string) func() { return func() { store.Put("op", key, []byte(value)) } }
+	remove := func(key string) func() { return func() { store.Delete("op", key) } }
+	for _, step := range []struct {
+		name    string
+		changes []func()
+		want    string
+	}{
+		{"written again", []func(){put("worker", "first"), remove("worker"), put("worker", "again")}, "again"},
+		{"removed and written again twice", []func(){remove("worker"), put("worker", "1"), remove("worker"), put("worker", "2")}, "2"},
+		{"changed", []func(){put("worker", "3"), put("worker", "4")}, "4"},
+		{"removed last", []func(){put("worker", "5"), remove("worker"), put("worker", "6"), remove("worker")}, ""},
+		{"new and removed", []func(){put("worker", "7"), remove("worker")}, ""},
+	} {
+		store.SetFaults(platformstore.Faults{Refuse: 503})
+		server.CloseClientConnections()
+		for _, change := range step.changes {
+			change()
+		}
+		store.Put("op", "last", []byte(step.name))
+		store.SetFaults(platformstore.Faults{})
+		require.Eventually(t, func() bool { return value(table, "last") == step.name }, applyTime, 5*time.Millisecond, step.name)
+		require.Equal(t, step.want, value(table, "worker"), step.name)
+	}
+}
