scheduler: the charge of a link takes constant time

Cause: chargeLink reserved the request's volume, 128 bytes for each output token that the caller allows, in steps of the bucket's burst, in the only goroutine of the group. A link without a limit had a burst of 1 byte, so the loop had as many steps as bytes.

Ruled out: the estimate and the queue, whose work does not depend on the tokens; other loops over a count from a caller or a target (none in scheduler, gateway, quota).

Change: the bucket is a number that is charged at once; a link without a limit has none. The debt of a link is at most 15 s of its volume.

Tests: TestGrantOverALinkTakesConstantTime, TestLargeRequestDoesNotBlockALink (scheduler); on the code before the first does not end within 5 s, the second gets a wait of 274,861 s after the link should be free.

--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -1,9 +1,8 @@
 package scheduler
 
 import (
+	"math"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 // Parameters of links between regions.
@@ -18,6 +17,9 @@
 	defaultLinkDelay = 12 * time.Millisecond
 	// defaultLinkBurst is the burst of a link that configures none.
 	defaultLinkBurst = time.Second
+	// maxLinkDebt bounds the time for which a link is charged ahead. A request may allow
+	// more output than it will ever send, and no ticket waits that long.
+	maxLinkDebt = 15 * time.Second
 )
 
 // RegionPair is the two ends of a link: the entry's region and the target's.
@@ -39,25 +41,41 @@
 // link is a Link with its token bucket.
 type link struct {
 	Link
-	bucket *rate.Limiter
+	// tokens is the content of the bucket in bytes at the time updated; negative while the
+	// link is charged ahead.
+	tokens  float64
+	updated time.Time
 }
 
 func newLinks(configured map[RegionPair]Link) map[RegionPair]*link {
 	links := make(map[RegionPair]*link, len(configured))
 	for pair, l := range configured {
-		burst := l.BurstBytes
-		if burst <= 0 {
-			burst = int(l.BytesPerSecond * defaultLinkBurst.Seconds())
-		}
-		limit := rate.Limit(l.BytesPerSecond)
-		if l.BytesPerSecond <= 0 {
-			limit = rate.Inf
+		if l.BurstBytes <= 0 {
+			l.BurstBytes = int(l.BytesPerSecond * defaultLinkBurst.Seconds())
 		}
-		links[pair] = &link{Link: l, bucket: rate.NewLimiter(limit, max(1, burst))}
+		links[pair] = &link{Link: l, tokens: float64(l.BurstBytes)}
 	}
 	return links
 }
 
+// available returns the bytes that the link may send at once.
+func (l *link) available(now time.Time) float64 {
+	if l.BytesPerSecond <= 0 {
+		return math.Inf(1)
+	}
+	refilled := l.tokens + l.BytesPerSecond*now.Sub(l.updated).Seconds()
+	return min(refilled, float64(l.BurstBytes))
+}
+
+// charge deducts a volume. The work does not depend on the volume, which callers set.
+func (l *link) charge(now time.Time, bytes float64) {
+	if l.BytesPerSecond <= 0 {
+		return
+	}
+	l.tokens = max(l.available(now)-bytes, -l.BytesPerSecond*maxLinkDebt.Seconds())
+	l.updated = now
+}
+
 // transfer is the time and price of moving a request to a target's region.
 type transfer struct {
 	// seconds is the time until the request reaches the target.
@@ -75,11 +93,11 @@
 		return transfer{seconds: defaultLinkDelay.Seconds(), penalty: crossRegionPenalty.Seconds()}
 	}
 	out := transfer{seconds: l.Delay.Seconds(), penalty: crossRegionPenalty.Seconds()}
-	bytes := float64(linkBytes(t))
+	bytes := linkBytes(t)
 	out.penalty += l.PricePerMegabyte.Seconds() * bytes / 1e6
 	if l.BytesPerSecond > 0 {
 		out.seconds += float64(t.BodyBytes) / l.BytesPerSecond
-		if missing := bytes - l.bucket.TokensAt(now); missing > 0 {
+		if missing := bytes - l.available(now); missing > 0 {
 			out.seconds += missing / l.BytesPerSecond
 		}
 	}
@@ -88,17 +106,11 @@
 
 // chargeLink deducts a granted request's volume from the link's bucket.
 func (g *Group) chargeLink(now time.Time, t *Ticket, region string) {
-	l, ok := g.links[RegionPair{t.Region, region}]
-	if !ok || t.Region == region {
-		return
-	}
-	// The bucket rejects more than its burst at once, so a large request is
-	// reserved in parts.
-	for bytes := linkBytes(t); bytes > 0; bytes -= l.bucket.Burst() {
-		l.bucket.ReserveN(now, min(bytes, l.bucket.Burst()))
+	if l, ok := g.links[RegionPair{t.Region, region}]; ok && t.Region != region {
+		l.charge(now, linkBytes(t))
 	}
 }
 
-func linkBytes(t *Ticket) int {
-	return int(t.BodyBytes) + t.OutputTokens*responseBytesPerToken
+func linkBytes(t *Ticket) float64 {
+	return float64(t.BodyBytes) + float64(t.OutputTokens)*responseBytesPerToken
 }
--- /dev/null
+++ b/scheduler/link_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a grant whose time grows with the tokens or the bytes of its request: the
+// group makes no other decision meanwhile.
+func TestGrantOverALinkTakesConstantTime(t *testing.T) {
+	for name, l := range map[string]Link{
+		"without a limit": {Delay: time.Millisecond}, "with a limit": {BytesPerSecond: 1e6, Delay: time.Millisecond}, "one byte at once": {BytesPerSecond: 1e9, BurstBytes: 1},
+	} {
+		for _, size := range []Ticket{{OutputTokens: math.MaxInt32}, {BodyBytes: math.MaxInt64}, {OutputTokens: math.MaxInt32, BodyBytes: math.MaxInt64}} {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				g := testGroup(GroupConfig{Links: map[RegionPair]Link{{"r", "far"}: l}})
+				size.Region = "r"
+				g.chargeLink(t0, &size, "far")
+			}()
+			select {
+			case <-done:
+			case <-time.After(5 * time.Second):
+				t.Fatalf("link %s: no decision for 5 s after a request of %d tokens and %d bytes", name, size.OutputTokens, size.BodyBytes)
+			}
+		}
+	}
+}
+
+// Guards against one request that allows more output than it will ever send and keeps all
+// others off a link for good.
+func TestLargeRequestDoesNotBlockALink(t *testing.T) {
+	g := testGroup(GroupConfig{Links: map[RegionPair]Link{{"r", "far"}: {BytesPerSecond: 1e6}}})
+	g.chargeLink(t0, &Ticket{Region: "r", OutputTokens: math.MaxInt32}, "far")
+	small := &Ticket{Region: "r", BodyBytes: 1000}
+	require.Greater(t, g.transferTo(t0, small, "far").seconds, 10.0, "the link is charged ahead")
+	require.Less(t, g.transferTo(t0.Add(maxLinkDebt), small, "far").seconds, 0.1)
+}
