broker: requests and links do not wait for a busy group

Cause: three waits without an end. A handler put its ticket into the link's channel and waited there when it was full (link.do, which ended with the process only). The link's goroutine waited for room in the group's queue (Session.Send and Close with context.Background, Join with the manager's context). A remote stream waited in flow control for a process that does not read. One busy group, local or remote, so stopped the requests of the whole machine.

Pollers still wait for room in the queue of their own group: no request depends on them.

Change: a link's commands are a queue to which a handler adds without waiting; with 1,024 of them queued a ticket is refused as not run. Sends and joins of a session end after 250 ms or with the session, the entry then joins again and resends its tickets. The group drops sessions that ended without a word at its next tick.

The fake stream of the tests now ends its Receive when it is closed before it joined, as a real one does.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -74,7 +75,7 @@
 func (f *fakeFleet) Open(_ context.Context, peer Peer) (Stream, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return &lazyStream{manager: f.managers[peer.Name], joined: make(chan struct{})}, nil
+	return &lazyStream{manager: f.managers[peer.Name], joined: make(chan struct{}), closed: make(chan struct{})}, nil
 }
 
 // lazyStream joins with the hello of its first message, as the server does.
@@ -82,6 +83,7 @@
 	manager *Manager
 	session *Session
 	joined  chan struct{}
+	closed  chan struct{}
 }
 
 func (s *lazyStream) Send(m *pb.TicketsRequest) error {
@@ -97,12 +99,17 @@
 }
 
 func (s *lazyStream) Receive() (*pb.TicketsResponse, error) {
-	<-s.joined
-	return s.session.Receive()
+	select {
+	case <-s.joined:
+		return s.session.Receive()
+	case <-s.closed:
+		return nil, io.EOF
+	}
 }
 
 func (s *lazyStream) Close() error {
 	if s.session == nil {
+		close(s.closed)
 		return nil
 	}
 	return s.session.Close()
--- a/broker/client.go
+++ b/broker/client.go
@@ -14,7 +14,7 @@
 
 // Sizes and periods of the client.
 const (
-	// commandQueue is the number of commands that a link queues.
+	// commandQueue is the number of queued commands from which on a link takes no tickets.
 	commandQueue = 1024
 	// defaultOwnerCheckInterval is how often a link compares its peer with the owner.
 	defaultOwnerCheckInterval = 200 * time.Millisecond
@@ -128,7 +128,8 @@
 }
 
 // Submit sends a copy of the ticket, with an id, to the owner of the group. The deadline
-// is the time by which the first token is due.
+// is the time by which the first token is due. Submit does not wait; a ticket for which the
+// link has no room is refused.
 func (c *Client) Submit(key GroupKey, ticket *pb.Ticket, deadline time.Time) *Call {
 	ticket = proto.CloneOf(ticket)
 	c.mu.Lock()
@@ -149,7 +150,9 @@
 		cancelled: make(chan struct{}),
 		submitted: time.Now(),
 	}
-	l.do(func() { l.submit(call) })
+	if !l.commands.tryAdd(func() { l.submit(call) }) {
+		call.decided <- noBrokerRefusal()
+	}
 	return call
 }
 
@@ -163,7 +166,7 @@
 		}
 		return d.grant, nil
 	case <-ctx.Done():
-		call.link.do(func() { call.link.withdraw(call) })
+		call.link.commands.add(func() { call.link.withdraw(call) })
 		return Grant{}, ctx.Err()
 	}
 }
@@ -186,20 +189,20 @@
 
 // Dispatched notifies the broker that the grant is being used.
 func (call *Call) Dispatched() {
-	call.link.do(func() { call.link.dispatched(call) })
+	call.link.commands.add(func() { call.link.dispatched(call) })
 }
 
 // Begun notifies the broker that the request has begun to receive its response.
 func (call *Call) Begun() {
 	if len(call.ticket.GetSharedParts()) > 0 {
-		call.link.do(func() { call.link.begun(call) })
+		call.link.commands.add(func() { call.link.begun(call) })
 	}
 }
 
 // Complete ends a granted call. The client sets the id of the completion.
 func (call *Call) Complete(completion *pb.Completion) {
 	completion.Id = call.ticket.GetId()
-	call.link.do(func() { call.link.complete(call, completion) })
+	call.link.commands.add(func() { call.link.complete(call, completion) })
 }
 
 // message returns a copy of the ticket with the remaining time. It is a copy because
@@ -216,7 +219,7 @@
 	return m
 }
 
-// noBrokerRefusal returns the refusal of a ticket that no broker has decided in time.
+// noBrokerRefusal returns the refusal of a ticket that no broker can decide in time.
 func noBrokerRefusal() decision {
 	return decision{refused: &RefusedError{Reason: scheduler.ReasonNoTarget}}
 }
--- a/broker/link.go
+++ b/broker/link.go
@@ -19,12 +19,12 @@
 )
 
 // link maintains one group's ticket stream to the group's owner. Its goroutine owns
-// all its fields except commands and lastResponseNanos. When the owner changes or the
+// all its fields except commands and lastResponseNanos, and never waits for the owner. When the owner changes or the
 // stream breaks, the link resends the waiting tickets and the grants in use.
 type link struct {
 	client   *Client
 	key      GroupKey
-	commands chan func()
+	commands *commands
 	calls    map[uint64]*Call
 
 	peer     Peer
@@ -58,7 +58,7 @@
 	return &link{
 		client:     c,
 		key:        key,
-		commands:   make(chan func(), commandQueue),
+		commands:   newCommands(),
 		calls:      make(map[uint64]*Call),
 		received:   make(chan received, sessionQueue),
 		out:        &pb.TicketsRequest{},
@@ -66,14 +66,6 @@
 	}
 }
 
-// do runs f in the link's goroutine.
-func (l *link) do(f func()) {
-	select {
-	case l.commands <- f:
-	case <-l.client.ctx.Done():
-	}
-}
-
 func (l *link) run(ctx context.Context) {
 	ticker := time.NewTicker(l.client.settings.OwnerCheckInterval)
 	defer ticker.Stop()
@@ -84,8 +76,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-l.commands:
-			l.runCommands(f)
+		case <-l.commands.ready:
+			for _, f := range l.commands.take() {
+				f()
+			}
 		case r := <-l.received:
 			l.handle(r)
 		case now := <-ticker.C:
@@ -97,19 +91,6 @@
 	}
 }
 
-// runCommands runs a command and up to maxBatch queued ones.
-func (l *link) runCommands(first func()) {
-	first()
-	for range maxBatch {
-		select {
-		case f := <-l.commands:
-			f()
-		default:
-			return
-		}
-	}
-}
-
 // retryTimer fires when a closed stream may be reopened.
 func (l *link) retryTimer() <-chan time.Time {
 	if l.stream != nil || len(l.calls) == 0 {
--- a/broker/manager.go
+++ b/broker/manager.go
@@ -104,7 +104,9 @@
 func (m *Manager) joinRunner(r *runner, hello *pb.Hello) (*Session, error) {
 	s := &Session{hello: hello, runner: r, out: make(chan *pb.TicketsResponse, sessionQueue)}
 	s.ctx, s.close = context.WithCancel(r.ctx)
-	if err := r.post(m.ctx, r.join(s)); err != nil {
+	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+	defer cancel()
+	if err := r.post(ctx, r.join(s)); err != nil {
 		s.close()
 		return nil, err
 	}
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -72,6 +72,7 @@
 		case e := <-r.events:
 			decisions = r.batch(e)
 		case <-ticker.C:
+			r.dropClosed(time.Now())
 			decisions = r.handleEvent(r.group.Tick)
 			r.logHealth()
 		}
@@ -256,6 +257,16 @@
 	}
 }
 
+// dropClosed drops the sessions that have ended without a leave event.
+func (r *runner) dropClosed(now time.Time) {
+	for key, s := range r.sessions {
+		if s.ctx.Err() != nil {
+			delete(r.sessions, key)
+			r.dropEntry(now, key)
+		}
+	}
+}
+
 func (r *runner) dropEntry(now time.Time, key entryKey) {
 	r.group.EntryDisconnected(now, key.instance, key.incarnation)
 	for id := range r.spans {
--- a/broker/session.go
+++ b/broker/session.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
+// sendTimeout bounds how long a session waits for room in the queue of its group. An entry
+// whose group is busy for longer joins again and resends its tickets.
+const sendTimeout = 250 * time.Millisecond
+
 // Session is one entry's connection to a group on the instance that owns it. It ends
 // when it is closed or its group stops, even if the group stops before it has handled
 // the join.
@@ -38,7 +43,9 @@
 	if s.ctx.Err() != nil {
 		return io.EOF
 	}
-	return s.runner.post(context.Background(), s.runner.handle(s, request))
+	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+	defer cancel()
+	return s.runner.post(ctx, s.runner.handle(s, request))
 }
 
 // Receive returns the next response, or io.EOF when the session has ended.
@@ -51,9 +58,13 @@
 	}
 }
 
-// Close ends the session and drops the entry's waiting tickets.
+// Close ends the session. The group drops the entry's waiting tickets, at its next tick if
+// its queue is full now.
 func (s *Session) Close() error {
 	s.close()
-	_ = s.runner.post(context.Background(), s.runner.leave(s)) // a stopped runner has no tickets left
+	select {
+	case s.runner.events <- s.runner.leave(s):
+	default:
+	}
 	return nil
 }
