mirror: the end of an outage is recorded before its changes are published

Callers would see: all targets of a service gone for up to 2 s after an outage of the store in which their entries lapsed, though the grace after an outage keeps them.

Cause: Table.Run applied the first response after an outage, which signals the change, and recorded the end of the outage after that. An instance that handled the signal in between, or a peer that fetched the copy, judged the removals by the time of an earlier outage and dropped the targets at once.

Ruled out: copies from peers carry the end of the outage and set it under the same lock.

Change: update records a response before it applies it. A full read that finds the same rows no longer signals a change.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -277,25 +277,26 @@
 		case errors.Is(err, ErrCompacted):
 			t.log.Info("change history is no longer available; reloading the table")
 			reload = true
-			t.recordResult(nil)
 		case err != nil:
 			t.recordResult(err)
 			sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetry)
 		default:
-			t.recordResult(nil)
 			retry, reload = minRetry, false
 			sleep(ctx, minWatchInterval-time.Since(startedAt))
 		}
 	}
 }
 
+// update reads the table or its changes. The end of an outage is recorded before a change
+// is published, because removals during the outage are to be judged by it.
 func (t *Table) update(ctx context.Context, reload bool) error {
 	if reload || t.Current() == nil {
 		rows, version, err := t.source.Load(ctx, t.name)
 		if err != nil {
 			return err
 		}
+		t.recordResult(nil)
 		if t.replace(rows, version) {
 			t.notifyStoreChange()
 		}
@@ -303,6 +304,9 @@
 	}
 	after := t.Version()
 	changes, err := t.source.Watch(ctx, t.name, after, watchWait)
+	if err == nil || errors.Is(err, ErrCompacted) {
+		t.recordResult(nil)
+	}
 	if err != nil {
 		return err
 	}
@@ -326,13 +330,14 @@
 	if t.current != nil && version < t.current.Version {
 		return false // a peer's newer copy is in use
 	}
-	first, changed := t.current == nil, version
-	if !first && sameRows(t.current.Rows, rows) {
-		changed = t.current.Changed
+	if t.current != nil && sameRows(t.current.Rows, rows) {
+		t.current = &Snapshot{Version: version, Changed: t.current.Changed, Digest: t.current.Digest, Rows: t.current.Rows}
+		return false
 	}
-	t.current = newSnapshot(rows, version, changed)
+	first := t.current == nil
+	t.current = newSnapshot(rows, version, version)
 	t.signal()
-	return !first && changed == version
+	return !first
 }
 
 func sameRows(current map[string]Row, rows []Row) bool {
--- /dev/null
+++ b/mirror/repair_test.go
@@ -0,0 +1,109 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/basilloom/basilloom/mirror"
+)
+
+// faultySource is a Source whose feed delivers the given changes once, whatever its rows are,
+// and can fail.
+type faultySource struct {
+	mu      sync.Mutex
+	version int64
+	rows    []mirror.Row
+	changes []mirror.Change
+	fail    bool
+}
+
+var errSource = errors.New("no response")
+
+func (s *faultySource) Load(context.Context, string) ([]mirror.Row, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail {
+		return nil, 0, errSource
+	}
+	return s.rows, s.version, nil
+}
+
+func (s *faultySource) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (mirror.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return mirror.Changes{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail {
+		return mirror.Changes{}, errSource
+	}
+	changes := mirror.Changes{Rows: s.changes, Version: s.version}
+	s.changes = nil
+	return changes, nil
+}
+
+// setRows replaces the rows; the feed delivers the removal of the first.
+func (s *faultySource) setRows(rows ...mirror.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.changes = []mirror.Change{{Row: mirror.Row{Key: s.rows[0].Key, Version: s.version}, Removed: true}}
+	s.rows = rows
+}
+
+func (s *faultySource) setFailing(fail bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = fail
+}
+
+// startFaulty starts a table that follows a faultySource, in a synctest bubble.
+func startFaulty(t *testing.T) (*faultySource, *mirror.Table) {
+	ctx, cancel := context.WithCancel(t.Context())
+	source := &faultySource{version: 1, rows: []mirror.Row{{Key: "worker", Value: []byte("live"), Version: 1}}}
+	table := mirror.NewTable("servers", source, zap.NewNop())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		table.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return source, table
+}
+
+// Guards against removals that are published before the end of the outage in which the rows
+// lapsed is: live targets would be taken for gone.
+func TestEndOfAnOutageIsKnownWithItsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, table := startFaulty(t)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		changes, unrecorded := 0, 0
+		table.SetOnStoreChange(func() {
+			changes++
+			if table.LastRecovery().Before(began) {
+				unrecorded++
+			}
+		})
+		source.setFailing(true)
+		time.Sleep(4 * time.Second)
+		source.setRows() // the entry lapsed
+		source.setFailing(false)
+		time.Sleep(contactTime)
+		require.Empty(t, table.Current().Rows)
+		require.Equal(t, 1, changes)
+		require.Zero(t, unrecorded)
+	})
+}
