mirror: full reads repair a copy that differs from the store

Cause: after its first read a table relied on the feed alone; any fault on the path of a change (here the order of changes) became permanent and fleet-wide.

Change: a table that reads the store reads it in full after an outage and once a minute. Same rows change nothing and are not announced.

Test: TestWrongCopyIsRepaired (mirror); on the code before the row stays lost in both cases.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -67,6 +67,9 @@
 	readsCheckInterval = 100 * time.Millisecond
 	// minWatchInterval batches the changes of a burst into one call. Each call is charged.
 	minWatchInterval = 250 * time.Millisecond
+	// reloadInterval is how long a table that reads the store relies on the feed alone. A
+	// full read repairs a copy that differs from the store, whatever the cause.
+	reloadInterval = time.Minute
 )
 
 // Snapshot is the state of a table. It is immutable.
@@ -264,12 +267,15 @@
 func (t *Table) Run(ctx context.Context) {
 	retry := minRetry
 	reload := true
+	var loadedAt time.Time
 	for ctx.Err() == nil {
 		if t.Current() != nil && !t.reads() {
 			sleep(ctx, readsCheckInterval)
 			continue
 		}
 		startedAt := time.Now()
+		// After an outage the feed holds many changes of the same rows.
+		reload = reload || t.StoreUnavailable() || startedAt.Sub(loadedAt) >= reloadInterval
 		err := t.update(ctx, reload)
 		switch {
 		case ctx.Err() != nil:
@@ -282,6 +288,9 @@
 			sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetry)
 		default:
+			if reload {
+				loadedAt = startedAt
+			}
 			retry, reload = minRetry, false
 			sleep(ctx, minWatchInterval-time.Since(startedAt))
 		}
--- a/mirror/repair_test.go
+++ b/mirror/repair_test.go
@@ -51,6 +51,14 @@
 	return changes, nil
 }
 
+// deliver makes the feed deliver changes.
+func (s *faultySource) deliver(changes ...mirror.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.changes = changes
+}
+
 // setRows replaces the rows; the feed delivers the removal of the first.
 func (s *faultySource) setRows(rows ...mirror.Row) {
 	s.mu.Lock()
@@ -83,6 +91,32 @@
 	return source, table
 }
 
+// Guards against a copy that differs from the store and stays so, because a row that does not
+// change is never delivered again.
+func TestWrongCopyIsRepaired(t *testing.T) {
+	for name, outage := range map[string]bool{"by a full read from time to time": false, "after an outage of the store": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, table := startFaulty(t)
+				time.Sleep(time.Second)
+				source.deliver(mirror.Change{Row: mirror.Row{Key: "worker", Version: 2}, Removed: true})
+				time.Sleep(5 * time.Second)
+				require.Empty(t, table.Current().Rows, "the copy is wrong")
+				repair := time.Minute
+				if outage {
+					source.setFailing(true)
+					time.Sleep(4 * time.Second)
+					source.setFailing(false)
+					repair = contactTime
+				}
+				source.deliver()
+				time.Sleep(repair)
+				require.Equal(t, "live", value(table, "worker"))
+			})
+		})
+	}
+}
+
 // Guards against removals that are published before the end of the outage in which the rows
 // lapsed is: live targets would be taken for gone.
 func TestEndOfAnOutageIsKnownWithItsChanges(t *testing.T) {
