gateway: requests in flight hold a bounded number of bytes

Callers would see: a machine that runs out of memory, and the requests of all its callers ended with it.

Cause: each size was bounded for one request only. A body may have 4 MiB, a response that is read in full 1 MiB, an event 256 KiB, a head 256 KiB; nothing bounded their sum. Buffers also doubled while they were read.

Ruled out: one request alone, each endless read is bounded (TestEndlessBytesBeforeAResponse).

Change: gateway.Memory bounds what all requests hold to 0.3 of the machine's memory: 32 KiB and the header for each request in flight, its body, and responses and events while they are read. A request that does not fit is refused as not run with 503, before its body is read; another instance may have room. A response that does not fit is passed on as it arrives, an event ends its stream. Buffers grow with the bytes that arrive, up to the declared length. A response head is at most 32 KiB; what may come before a response stays 256 KiB. New metric basilloom_request_bytes.

Tests: TestBodiesInFlightFitTheMemory, TestLongResponsesInFlightFitTheMemory (internal/instance; live heap in a process that also runs the callers), TestHoldingReadsBodies, TestHoldingStaysWithinTheBound (gateway).

Open: idle connections of callers are bounded by the file descriptors only.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,10 +61,12 @@
 	// maxInlineBody is the largest body that is written before the response is read.
 	// It fits into the socket buffer, so the write does not wait for the target.
 	maxInlineBody = 16 << 10
-	// maxHead bounds what is read before the response to a request begins: its header,
+	// maxBefore bounds what is read before the response to a request begins: its header,
 	// and all interim responses and responses to earlier requests. A target may send
 	// bytes without end.
-	maxHead = 256 << 10
+	maxBefore = 256 << 10
+	// maxHeader bounds one response header, which is held in memory while it is read.
+	maxHeader = 32 << 10
 )
 
 var (
@@ -134,8 +136,10 @@
 // readResponse returns the response to the request and discards interim responses and
 // those to earlier requests.
 func (c *conn) readResponse(request *Request) (*Response, error) {
-	c.limit.left = maxHead
+	left := int64(maxBefore)
 	for {
+		header := min(left, maxHeader)
+		c.limit.left = header
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil, errClosedEarly
@@ -147,9 +151,11 @@
 			c.limit.left = math.MaxInt64 // the reader of the body bounds its length
 			return response, nil
 		}
+		c.limit.left += left - header
 		if err := discard(response); err != nil {
 			return nil, err
 		}
+		left = c.limit.left
 	}
 }
 
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -43,7 +42,9 @@
 	uri       string
 	host      string
 	body      []byte
-	cost      float64
+	// holding is what the request holds of the gateway's memory.
+	holding holding
+	cost    float64
 	// fingerprint identifies the content of the request.
 	fingerprint uint64
 	// sends counts the attempts of which a target may have read a byte.
@@ -65,7 +66,7 @@
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
 	req := &request{
 		call: g.settings.HeaderCodec.DecodeCall(r.Header), arrived: time.Now(), header: r.Header,
-		method: r.Method, uri: requestURI(r), host: r.Host,
+		method: r.Method, uri: requestURI(r), host: r.Host, holding: holding{memory: g.settings.Memory},
 	}
 	table := g.table.Load()
 	if table == nil {
@@ -83,6 +84,9 @@
 	if req.service == nil {
 		return req, notRun(http.StatusServiceUnavailable, "the route has no service", notReadyRetryAfter)
 	}
+	if err := req.holding.grow(requestOverhead + headerBytes(r)); err != nil {
+		return req, noMemory(err)
+	}
 	if refused := readBody(w, r, table.Config().Limits, req); refused != nil {
 		return req, refused
 	}
@@ -151,16 +155,23 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := req.holding.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		req.body = body
+		return nil
+	case errors.As(err, &tooLarge):
 		return reject(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, errNoMemory):
+		return noMemory(err)
 	}
-	if err != nil {
-		return reject(http.StatusBadRequest, "the body could not be read")
-	}
-	req.body = body
-	return nil
+	return reject(http.StatusBadRequest, "the body could not be read")
+}
+
+// noMemory refuses a request for which there is no memory. Other instances may have some.
+func noMemory(err error) *Refusal {
+	return notRun(http.StatusServiceUnavailable, err.Error(), minRetryAfter)
 }
 
 // setDeadline sets the deadline from the route's and the caller's timeout.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,10 +24,12 @@
 
 // Settings holds the dependencies of a Gateway.
 type Settings struct {
-	HeaderCodec  HeaderCodec
-	Pool         *forward.Pool
-	Placer       *Placer
-	Ledger       *quota.Ledger
+	HeaderCodec HeaderCodec
+	Pool        *forward.Pool
+	Placer      *Placer
+	Ledger      *quota.Ledger
+	// Memory bounds what all requests hold.
+	Memory       *Memory
 	RetryBudgets *quota.RetryBudgets
 	// Rollouts chooses the versions to use while services change versions.
 	Rollouts *rollout.Tracker
@@ -101,6 +103,7 @@
 	defer span.End()
 	out := &responder{w: w, codec: g.settings.HeaderCodec}
 	req, refused := g.admit(w, r)
+	defer req.holding.release()
 	span.SetAttributes(attribute.String("basilloom.request_id", req.call.ID))
 	if refused != nil {
 		out.refuse(refused)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -381,7 +382,12 @@
 
 // relayPlain reads a whole response and passes it on.
 func (a *attempt) relayPlain(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainResponse+1))
+	limited := io.LimitReader(response.Body, maxPlainResponse+1)
+	body, err := a.req.holding.read(limited, response.ContentLength)
+	defer a.req.holding.shrink(int64(cap(body)))
+	if errors.Is(err, errNoMemory) && a.mayPassThrough(response) {
+		return a.passThrough(ctx, response, body, limited)
+	}
 	if err != nil || len(body) > maxPlainResponse {
 		return a.bodyFailed(ctx, err)
 	}
@@ -414,6 +420,38 @@
 	return outcome{done: true}, result
 }
 
+// mayPassThrough reports whether a response may be passed on before its end is read. It is
+// then too late for another attempt.
+func (a *attempt) mayPassThrough(response *forward.Response) bool {
+	return response.StatusCode < http.StatusInternalServerError && !impliesNotRun(response.StatusCode) && !a.out.started
+}
+
+// passThrough passes on a response for which there is no memory, beginning with the bytes
+// that have been read.
+func (a *attempt) passThrough(ctx context.Context, response *forward.Response, begun []byte, rest io.Reader) (outcome, pb.Result) {
+	a.firstByte = time.Since(a.sent)
+	a.gateway.observeFirst(a)
+	a.out.begin(response.StatusCode, response.Header, int(response.ContentLength))
+	all := io.MultiReader(bytes.NewReader(begun), rest)
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := all.Read(buffer)
+		if writeErr := a.out.write(buffer[:n]); writeErr != nil {
+			return outcome{done: true, refusal: reject(statusClientClosedRequest, errCallerWrite.Error())}, pb.Result_RESULT_CANCELLED
+		}
+		tooLong := a.out.bytes > maxPlainResponse
+		if errors.Is(err, io.EOF) && !tooLong {
+			a.out.complete = true
+			return outcome{done: true}, pb.Result_RESULT_SERVED
+		}
+		if err != nil || tooLong {
+			o, result := a.bodyFailed(ctx, err)
+			o.done = true
+			return o, result
+		}
+	}
+}
+
 // impliesNotRun reports whether a status states that the request did not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,6 +24,9 @@
 // relayStream passes on the complete events of a stream as they arrive.
 func (a *attempt) relayStream(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
 	var splitter eventSplitter
+	// The overhead of the request covers the first bytes of an event.
+	held := streamBuffer
+	defer func() { a.req.holding.shrink(int64(held - streamBuffer)) }()
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -43,6 +46,12 @@
 			return a.streamFailed(ctx, err)
 		case splitter.buffered() > maxEvent:
 			return a.streamFailed(ctx, errLongEvent)
+		case splitter.buffered() > held:
+			// The next event is long.
+			if err := a.req.holding.grow(int64(splitter.buffered() - held)); err != nil {
+				return a.streamFailed(ctx, err)
+			}
+			held = splitter.buffered()
 		}
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,6 +41,8 @@
 	// memoryShare is the soft memory limit as a fraction of the machine's memory. The
 	// rest is for kernel buffers and bursts.
 	memoryShare = 0.6
+	// requestMemoryShare is the part of the machine's memory that requests in flight may hold.
+	requestMemoryShare = 0.3
 	// loadPeriod is the interval between updates of the peers' loads on the targets.
 	loadPeriod = 100 * time.Millisecond
 	// refreshPeriod is the interval between checks of the groups' owners.
@@ -61,6 +63,7 @@
 	pool     *forward.Pool
 	ledger   *quota.Ledger
 	gateway  *gateway.Gateway
+	memory   *gateway.Memory
 	placer   *gateway.Placer
 	groups   *gateway.Groups
 	fleet    *fleet.Fleet
@@ -101,6 +104,7 @@
 	i := &Instance{
 		log: log, metrics: metrics,
 		store: platform.NewStore(settings.Store), pool: forward.NewPool(), ledger: quota.NewLedger(settings.Quota),
+		memory:      &gateway.Memory{},
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 	i.settings.Store(&settings)
@@ -115,7 +119,7 @@
 	i.status = i.store.Table(platform.TableStatus)
 	i.placer = &gateway.Placer{Groups: i.groups, Log: log}
 	i.gateway = gateway.New(gateway.Settings{
-		HeaderCodec: platform.HeaderCodec{}, Pool: i.pool, Placer: i.placer, Ledger: i.ledger,
+		HeaderCodec: platform.HeaderCodec{}, Pool: i.pool, Placer: i.placer, Ledger: i.ledger, Memory: i.memory,
 		RetryBudgets: i.retries, Rollouts: i.tracker, OnBegun: i.partsBegun, Metrics: requests, Log: log,
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
@@ -147,7 +151,7 @@
 // It reloads the settings file when the file changes or reload receives a signal.
 func (i *Instance) Run(ctx context.Context, file platform.SettingsFile, reload <-chan os.Signal) error {
 	settings := i.settings.Load()
-	setMemoryLimit(*settings)
+	i.setMemoryLimits(*settings)
 	servers, err := i.listen()
 	if err != nil {
 		return err
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -16,7 +16,7 @@
 type instruments struct {
 	calls, connections, dropped  metric.Int64ObservableCounter
 	datagrams, reportBytes       metric.Int64ObservableCounter
-	peers, version               metric.Int64ObservableGauge
+	peers, version, held         metric.Int64ObservableGauge
 	share, retryBudget, tableAge metric.Float64ObservableGauge
 }
 
@@ -44,6 +44,7 @@
 	counter(&m.reportBytes, "basilloom_report_bytes", "Bytes of the datagrams sent to other instances.")
 	gauge(&m.peers, "basilloom_peers_heard", "Other instances with a recent report.")
 	gauge(&m.version, "basilloom_config_version", "Version of the configuration in force.")
+	gauge(&m.held, "basilloom_request_bytes", "Bytes that the requests in flight hold.")
 	floatGauge(&m.share, "basilloom_quota_share", "Fraction of the fleet's limits that this instance and the peers with recent reports may spend.")
 	floatGauge(&m.retryBudget, "basilloom_repeat_budget", "Remaining retry budget in sends, by service.")
 	floatGauge(&m.tableAge, "basilloom_table_age_seconds", "Time since the store's last response to a call for the table.")
@@ -54,7 +55,7 @@
 		o.ObserveInt64(m.dropped, droppedLines())
 		i.observe(o, &m)
 		return nil
-	}, m.calls, m.connections, m.dropped, m.datagrams, m.reportBytes, m.peers, m.version, m.share, m.retryBudget, m.tableAge)
+	}, m.calls, m.connections, m.dropped, m.datagrams, m.reportBytes, m.peers, m.version, m.held, m.share, m.retryBudget, m.tableAge)
 	if err != nil {
 		return fmt.Errorf("instance metrics: %w", err)
 	}
@@ -76,6 +77,7 @@
 	datagrams, bytes := i.fleet.Traffic()
 	o.ObserveInt64(m.datagrams, datagrams)
 	o.ObserveInt64(m.reportBytes, bytes)
+	o.ObserveInt64(m.held, i.memory.Held())
 	now := time.Now()
 	o.ObserveInt64(m.peers, int64(len(i.fleet.LiveReports(now))))
 	if table := i.gateway.Table(); table != nil {
--- a/internal/instance/metrics_test.go
+++ b/internal/instance/metrics_test.go
@@ -42,7 +42,7 @@
 		`basilloom_store_calls_total{kind="read",outcome="answered"}`,
 		`basilloom_store_calls_total{kind="feed",outcome="lost"} 0`,
 		`basilloom_table_age_seconds{table="op"}`,
-		`basilloom_config_version 3`, `basilloom_peers_heard 0`, `basilloom_log_lines_dropped_total 0`,
+		`basilloom_config_version 3`, `basilloom_peers_heard 0`, `basilloom_request_bytes 0`, `basilloom_log_lines_dropped_total 0`,
 		`basilloom_target_connections_total{how="opened"}`,
 		`basilloom_groups{pool="app"} 1`, `basilloom_target_health{target="w-a"} 0`,
 	} {
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -72,15 +72,17 @@
 	i.fleet.SetSeeds(settings.Seeds)
 	i.retries.SetLimits(settings.RetryRatio*retryShare, retryReserve(settings))
 	i.ledger.SetTolerance(settings.Quota)
-	setMemoryLimit(settings)
+	i.setMemoryLimits(settings)
 	if settings.Callers != previous.Callers || settings.Ready != previous.Ready || settings.Peers != previous.Peers || settings.Store != previous.Store {
 		i.log.Warn("addresses in the settings changed, restart required")
 	}
 	i.log.Info("settings in force", zap.Bool(field.Changed, !reflect.DeepEqual(*previous, settings)))
 }
 
-// setMemoryLimit sets the garbage collector's soft limit to a part of the machine's memory.
-func setMemoryLimit(settings platform.Settings) {
+// setMemoryLimits sets the garbage collector's soft limit and the bound of the requests in
+// flight to parts of the machine's memory.
+func (i *Instance) setMemoryLimits(settings platform.Settings) {
+	i.memory.SetLimit(int64(requestMemoryShare * float64(settings.MemoryBytes)))
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -406,7 +406,7 @@
 	env.worker("w-a", worker.Always(worker.Serve))
 	env.configure(testRoutes(), []string{testKey}, 0)
 	n := env.start("i1")
-	data := strings.Replace(fmt.Sprintf(settingsFile, "i1", "1", n.settings.Load().Callers, n.settings.Load().Ready, n.settings.Load().Store),
+	data := strings.Replace(fmt.Sprintf(settingsFile, "i1", "1", n.settings.Load().Callers, n.settings.Load().Ready, 512, n.settings.Load().Store),
 		"seeds = []", `seeds = ["10.0.0.9:1"]`, 1)
 	write(t, n.path, data)
 	n.reload <- syscall.SIGHUP
--- a/internal/instance/testenv_test.go
+++ b/internal/instance/testenv_test.go
@@ -38,10 +38,12 @@
 	version int64
 	// engine is set if the service consists of model engines.
 	engine bool
+	// memoryMB is the memory of a machine, maxBodyBytes the largest body of a request.
+	memoryMB, maxBodyBytes int
 }
 
 func newTestEnv(t *testing.T) *testEnv {
-	env := &testEnv{t: t, store: platformstore.New()}
+	env := &testEnv{t: t, store: platformstore.New(), memoryMB: 512, maxBodyBytes: 1000}
 	env.server = httptest.NewServer(env.store)
 	t.Cleanup(func() {
 		env.server.CloseClientConnections()
@@ -98,7 +100,7 @@
 	}
 	env.store.Put(platform.TableOperator, platform.KeyConfig, env.encode(map[string]any{
 		"version": env.version, "routes": routes, "services": []map[string]any{service},
-		"limits": map[string]any{"max_body_bytes": 1000}, "tenants": tenants,
+		"limits": map[string]any{"max_body_bytes": env.maxBodyBytes}, "tenants": tenants,
 	}))
 }
 
@@ -176,7 +178,7 @@
 frontend = %q
 ready = %q
 [limits]
-memory_mb = 512
+memory_mb = %d
 [bounds]
 grace_s = 8
 budget_ratio = 0.2
@@ -195,7 +197,7 @@
 	n := &node{reload: make(chan os.Signal, 1), ended: make(chan struct{}), path: filepath.Join(env.t.TempDir(), "settings.toml")}
 	_, port, err := net.SplitHostPort(freeAddress(env.t))
 	require.NoError(env.t, err)
-	text := fmt.Sprintf(settingsFile, name, port, freeAddress(env.t), freeAddress(env.t), strings.TrimPrefix(store, "http://"))
+	text := fmt.Sprintf(settingsFile, name, port, freeAddress(env.t), freeAddress(env.t), env.memoryMB, strings.TrimPrefix(store, "http://"))
 	require.NoError(env.t, os.WriteFile(n.path, []byte(text), 0o600))
 	settings, err := platform.SettingsFile{Path: n.path}.Load()
 	require.NoError(env.t, err)
