gateway: slow callers do not outlive their requests

Callers would see: a machine whose descriptors and memory are taken by callers that stopped reading or sending; each keeps a request, its slot and its bytes until it closes.

Cause: the deadline of a request ended its wait and its send to a target, not the read of its body or the write of its response. Both waited for the caller without an end.

Ruled out: heads of requests (ReadHeaderTimeout); writes to targets, which end with the request's context.

Change: the body is read until the request's deadline, then the request is refused with 408 as not run; the response can be written until 500 ms after the deadline. The rest of a refused body is discarded within the same time.

Tests: TestBodyThatStallsIsRefused, TestCallerThatDoesNotReadIsLeft (internal/instance); on the code before there is no response within 2.5 s, and the request is still in flight then. TestNextRequestOnAConnectionHasItsOwnTime guards the change itself.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -63,7 +64,7 @@
 }
 
 // admit checks a request against the current configuration.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
+func (g *Gateway) admit(out *responder, r *http.Request) (*request, *Refusal) {
 	req := &request{
 		call: g.settings.HeaderCodec.DecodeCall(r.Header), arrived: time.Now(), header: r.Header,
 		method: r.Method, uri: requestURI(r), host: r.Host, holding: holding{memory: g.settings.Memory},
@@ -87,10 +88,10 @@
 	if err := req.holding.grow(requestOverhead + headerBytes(r)); err != nil {
 		return req, noMemory(err)
 	}
-	if refused := readBody(w, r, table.Config().Limits, req); refused != nil {
+	req.setDeadline()
+	if refused := readBody(out, r, table.Config().Limits, req); refused != nil {
 		return req, refused
 	}
-	req.setDeadline()
 	if endBy := g.endBy.Load(); endBy != nil && req.deadline.After(*endBy) {
 		return req, notRun(http.StatusServiceUnavailable, errStopping.Error(), minRetryAfter)
 	}
@@ -150,21 +151,27 @@
 	return ""
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, req *request) *Refusal {
+// readBody reads the body until the request's deadline.
+func readBody(out *responder, r *http.Request, limits routing.Limits, req *request) *Refusal {
+	out.readBodyBy(r, req.deadline)
 	limit := limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := req.holding.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	body, err := req.holding.read(http.MaxBytesReader(out.w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// While the request runs, an expiry would look like the end of the connection.
+		out.readBodyBy(r, time.Time{})
 		req.body = body
 		return nil
 	case errors.As(err, &tooLarge):
 		return reject(http.StatusRequestEntityTooLarge, "the body is too large")
 	case errors.Is(err, errNoMemory):
 		return noMemory(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return notRun(http.StatusRequestTimeout, "the body did not arrive in time", minRetryAfter)
 	}
 	return reject(http.StatusBadRequest, "the body could not be read")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,10 @@
 		"request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	out := &responder{w: w, codec: g.settings.HeaderCodec}
-	req, refused := g.admit(w, r)
+	// Replaces the deadlines of the connection's last request.
+	out.writeBy(time.Now().Add(defaultTimeout))
+	out.readBodyBy(r, time.Now().Add(defaultTimeout))
+	req, refused := g.admit(out, r)
 	defer req.holding.release()
 	span.SetAttributes(attribute.String("basilloom.request_id", req.call.ID))
 	if refused != nil {
@@ -110,6 +113,7 @@
 		g.recordEnd(req, out, refused)
 		return
 	}
+	out.writeBy(req.deadline.Add(writeGrace))
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, errTimeout)
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -92,6 +92,23 @@
 	return err
 }
 
+// writeGrace is how long after its deadline a request's response may still be written.
+const writeGrace = 500 * time.Millisecond
+
+// writeBy sets the time after which writes fail, so that a caller that does not read does not
+// keep its request alive.
+func (o *responder) writeBy(deadline time.Time) {
+	_ = http.NewResponseController(o.w).SetWriteDeadline(deadline) // a writer without deadlines does not wait for a network
+}
+
+// readBodyBy sets the time after which reads of the caller's body fail, also those by which
+// the server discards the rest of it. The zero time sets none.
+func (o *responder) readBodyBy(r *http.Request, deadline time.Time) {
+	if r.Body != http.NoBody {
+		_ = http.NewResponseController(o.w).SetReadDeadline(deadline) // as in writeBy
+	}
+}
+
 func (o *responder) flush() error { return http.NewResponseController(o.w).Flush() }
 
 // hopByHop lists the headers that apply to a single connection only.
