instance: rows of lost instances are removed from the store

Cause: an instance writes a row at its start and only removes it itself, at a graceful stop. A machine that is lost leaves it for ever, each start takes every row for a peer, and an unreachable peer keeps its part of all quotas for 25 s.

Ruled out: a shorter retention of peers that a start has only read of: a peer behind a partition spends its part, and the longest partitions of the sites are near 25 s.

Change: when an instance counts a peer as gone, as it did before, the owner of this duty also removes the peer's row, if it is still that of the same start. A peer that reports again after that gets its row back. A lost machine costs two calls of the store.

Tests: TestRowsOfLostInstancesAreRemoved, TestRowOfAReturnedInstanceIsWritten (internal/instance); on the code before the first finds 9 rows instead of 1 after 29 s.

Open: a final fault less than 25 s after the loss still meets the rows.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,6 +103,10 @@
 	FillReport func(*pb.FleetReport)
 	// OnReport is called with each new report.
 	OnReport func(*pb.FleetReport)
+	// OnRemoved is called with a peer that is removed because it sends no reports, and
+	// OnDiscovered with one that reports and was not known. Both may be nil and must not call
+	// the Fleet.
+	OnRemoved, OnDiscovered func(*pb.FleetMember)
 	Log      *zap.Logger
 }
 
@@ -311,6 +315,11 @@
 		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), DiscoveredAt: now}
 		f.peers[m.GetInstance()] = p
 		f.completeUntil = now.Add(completeReportsPeriod)
+		if !ok && f.settings.OnDiscovered != nil {
+			f.settings.OnDiscovered(&pb.FleetMember{
+				Instance: p.Name, Incarnation: p.Incarnation, Address: m.GetAddress(), Zone: m.GetZone(),
+			})
+		}
 		f.settings.Log.Info("peer discovered", zap.String(field.Peer, p.Name), zap.Uint64(field.Incarnation, p.Incarnation))
 	}
 	if m.GetIncarnation() < p.Incarnation || (p.Report != nil && m.GetSequence() <= p.Report.GetSequence()) {
@@ -372,11 +381,15 @@
 		Instance: f.settings.Self, Incarnation: f.settings.Incarnation, Address: f.settings.Address, Zone: f.settings.Zone,
 	}}
 	for _, p := range f.peers {
-		members = append(members, &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address, Zone: p.Zone})
+		members = append(members, p.member())
 	}
 	return members
 }
 
+func (p *Peer) member() *pb.FleetMember {
+	return &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address, Zone: p.Zone}
+}
+
 // LiveReports returns the last reports of the responsive peers.
 func (f *Fleet) LiveReports(now time.Time) []*pb.FleetReport {
 	f.mu.Lock()
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -174,6 +174,9 @@
 	for name, p := range f.peers {
 		if now.Sub(p.lastSeen()) > peerRetention {
 			delete(f.peers, name)
+			if f.settings.OnRemoved != nil {
+				f.settings.OnRemoved(p.member())
+			}
 			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,6 +75,7 @@
 	crashes       *crashes
 	tracker       *rollout.Tracker
 	orderStatus   orderStatus
+	lost          lostInstances
 	// orderWaitLogged is when the last line on what a version order waits for was logged.
 	orderWaitLogged time.Time
 	status          storage.Table // holds the status of version orders
@@ -124,7 +125,8 @@
 	})
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
-		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry}, FillReport: i.fillReport, OnReport: i.applyReport, Log: log,
+		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry}, FillReport: i.fillReport, OnReport: i.applyReport,
+		OnRemoved: i.lost.removed, OnDiscovered: i.lost.returned, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -170,6 +172,7 @@
 	running.Go(func() { i.watchTables(i.runCtx) })
 	running.Go(func() { i.fleet.Run(i.runCtx) })
 	running.Go(func() { i.register(i.runCtx) })
+	running.Go(func() { i.updateLostRows(i.runCtx) })
 	running.Go(func() { i.runRollouts(i.runCtx) })
 	running.Go(func() { i.watchSettings(i.runCtx, file, reload) })
 	i.log.Info("instance started", zap.String(field.Callers, settings.Callers), zap.String(field.Store, settings.Store),
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// tableInstances holds a row for each instance, written at its start and
-	// removed at its graceful shutdown.
+	// tableInstances holds a row for each instance, written at its start and removed at its
+	// graceful shutdown, or by another instance after its loss.
 	tableInstances = "instances"
 	// registerRetry is the mean wait after a failed registration.
 	registerRetry = 500 * time.Millisecond
