scheduler: a target without requests is not busy

Callers would see: requests that may crash targets wait and are refused although targets are idle, after one request that allowed more output than it sent.

Cause: a target's expected end of its requests is the latest of their estimates, and only moved forward. One request with a large limit of output tokens set it hours ahead, and reserve does not choose a target that is busy beyond a ticket's last useful dispatch.

Ruled out: the estimated end of the prompts, which was reset with the last request.

Change: both ends are reset when the last request of a target ends.

Test: TestTargetIsNotBusyAfterItsRequests (scheduler), seen failing before.

--- a/scheduler/link_test.go
+++ b/scheduler/link_test.go
@@ -40,3 +40,15 @@
 	require.Greater(t, g.transferTo(t0, small, "far").seconds, 10.0, "the link is charged ahead")
 	require.Less(t, g.transferTo(t0.Add(maxLinkDebt), small, "far").seconds, 0.1)
 }
+
+// Guards against a target that is taken for busy for hours after a request that allowed more
+// output than it sent: it would never be cleared for a suspect.
+func TestTargetIsNotBusyAfterItsRequests(t *testing.T) {
+	g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 2})
+	g.Submit(t0, testTicket(1, func(t *Ticket) { t.OutputTokens = math.MaxInt32 }))
+	g.Submit(t0, testTicket(2, nil))
+	g.Complete(t0, served(1))
+	require.True(t, g.targets["x"].busyUntil.After(t0), "a request runs")
+	g.Complete(t0, served(2))
+	require.False(t, g.targets["x"].busyUntil.After(t0))
+}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -287,3 +287,10 @@
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -139,9 +139,9 @@
 
 func (s *targetState) ended(now time.Time) {
 	s.running--
-	if s.running == 0 && s.prefillEnd.After(now) {
-		// All prompts were processed earlier than estimated.
-		s.prefillEnd = now
+	if s.running == 0 {
+		// All prompts and responses may have ended earlier than estimated.
+		s.prefillEnd, s.busyUntil = earlier(s.prefillEnd, now), earlier(s.busyUntil, now)
 	}
 	s.recordChange(change{now, s.running, -1, 0})
 }
