instance: the status of a newer version order is not overwritten

Callers would see: a version order that begins again, and so is late, because an instance that was cut off still had the order before it.

Cause: the owner of an order took a status of any other order for an old one. An instance that has not seen the newer order yet, for example after a partition, wrote the first phase of its own order over that of the newer one; the precondition on the row did not help, as it had just read the row.

Ruled out: two owners of the same order (TestPausedOwnerDoesNotOverwriteAPhase).

Change: an instance leaves the status of an order with a higher id, the version of the order's row, as it is.

Test: TestStatusOfANewerOrderIsKept (internal/instance); on the code before the status is that of order 7 instead of 9.

--- a/internal/instance/rollouts.go
+++ b/internal/instance/rollouts.go
@@ -94,6 +94,11 @@
 			i.log.Warn("version order status not decoded", zap.String(field.Service, order.Service), zap.Error(err))
 		}
 	}
+	if status.Order.ID > order.ID {
+		// This instance has not seen the newer order yet.
+		i.log.Info("version order replaced by a newer one", zap.String(field.Service, order.Service), zap.Int64(field.Order, order.ID))
+		return
+	}
 	if status.Order.ID == order.ID && status.Phase != "" {
 		i.tracker.SetPhase(order.Service, order.ID, status.Phase)
 		i.orderStatus.read(order.ID, now)
--- a/internal/instance/rollouts_test.go
+++ b/internal/instance/rollouts_test.go
@@ -286,3 +286,26 @@
 	phase, _ := n.tracker.State(order)
 	require.Equal(t, rollout.Canary, phase, "the paused owner does not act on its decision")
 }
+
+// Guards against an instance that was cut off, still has an older order and writes its status
+// over that of a newer one.
+func TestStatusOfANewerOrderIsKept(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	n := env.assemble("i1")
+	older := rollout.Order{Service: "app", To: "v2", Duration: time.Minute, ID: 7}
+	newer := rollout.Order{Service: "app", To: "v3", Duration: time.Minute, ID: 9}
+	n.tracker.SetOrders([]rollout.Order{older})
+	key := storage.Key{Sort: platform.StatusKey("app")}
+	value, err := platform.EncodeStatus(platform.Status{Order: newer, Phase: rollout.Shifted})
+	require.NoError(t, err)
+	_, err = n.status.Put(t.Context(), key, value, 0)
+	require.NoError(t, err)
+	n.followOrder(t.Context(), older, time.Now())
+	row, err := n.status.Get(t.Context(), key)
+	require.NoError(t, err)
+	status, err := platform.DecodeStatus(row.Value)
+	require.NoError(t, err)
+	require.Equal(t, newer.ID, status.Order.ID)
+	require.Equal(t, rollout.Shifted, status.Phase)
+}
