basilloomd: settings may change while the process starts

Callers would see: the requests of a process that ends by itself, because its settings changed just after its start.

Cause: the handler of SIGHUP was installed after the settings were read and the instance was assembled; until then the signal's default ends the process.

Change: the handler is installed before the settings are read. The time before that, until the command line is parsed, remains.

--- a/cmd/basilloomd/main.go
+++ b/cmd/basilloomd/main.go
@@ -54,6 +54,9 @@
 }
 
 func servePlatform(command platformCommand) error {
+	// Without a handler the signal ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	file := platform.SettingsFile{Path: command.SettingsFile, MetricsPort: command.MetricsPort}
 	settings, err := file.Load()
 	if err != nil {
@@ -78,8 +81,6 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	return i.Run(ctx, file, reload)
 }
 
