telemetry: queued log lines are bounded in bytes

Callers would see: a machine that runs out of memory while nothing reads its log, because the lines contain what callers send, an id of up to 64 KiB among it.

Cause: the queue of the decision log was bounded to 2,048 lines, 128 MB at that length.

Ruled out: a line that waits for its output; lines are dropped and counted.

Change: the queue holds at most 2 MiB.

Test: TestQueuedLinesAreBoundedInBytes (telemetry); on the code before no line of 2,048 with 64 KiB is dropped.

--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -16,6 +16,8 @@
 	// logQueueLines is the number of lines that can be queued for the output. Further
 	// lines are dropped.
 	logQueueLines = 2048
+	// logQueueBytes bounds the bytes of the queued lines, which contain what callers send.
+	logQueueBytes = 2 << 20
 	// logCloseTimeout bounds the time that Close waits for the output.
 	logCloseTimeout = 500 * time.Millisecond
 )
@@ -24,6 +26,8 @@
 // is full, so that a request never waits for an output that is not read.
 type boundedWriter struct {
 	lines chan []byte
+	// queuedBytes is the length of the lines in the queue.
+	queuedBytes atomic.Int64
 	// unreported counts the dropped lines that the log has not reported yet, total counts
 	// all dropped lines.
 	unreported, total atomic.Int64
@@ -41,12 +45,16 @@
 
 // Write implements io.Writer for zapcore.WriteSyncer. It never blocks and never fails.
 func (w *boundedWriter) Write(p []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), p...):
-	default:
-		w.unreported.Add(1)
-		w.total.Add(1)
+	if w.queuedBytes.Add(int64(len(p))) <= logQueueBytes {
+		select {
+		case w.lines <- append([]byte(nil), p...):
+			return len(p), nil
+		default:
+		}
 	}
+	w.queuedBytes.Add(-int64(len(p)))
+	w.unreported.Add(1)
+	w.total.Add(1)
 	return len(p), nil
 }
 
@@ -70,9 +78,11 @@
 // system calls.
 func (w *boundedWriter) write(line []byte) {
 	batch := line
+	w.queuedBytes.Add(-int64(len(line)))
 	for len(batch) < maxBatchBytes {
 		select {
 		case next := <-w.lines:
+			w.queuedBytes.Add(-int64(len(next)))
 			batch = append(batch, next...)
 			continue
 		default:
