scheduler: a request is charged the output that it can use

Callers would see: under load all requests of a workspace wait behind those of the others and are refused, after one of them allowed much more output than it could send.

Cause: a ticket's length in the fair shares is its prompt and the output limit of its caller. One request with 2,147,483,647 tokens set its workspace's finish tag beyond all others until the tier had no waiting ticket.

Ruled out: tickets that are refused; their cost was given back.

Change: the output counts only up to what the fastest target can generate until the response is due.

Test: TestLargeRequestCostsNoMoreThanItCanUse (scheduler); on the code before the workspace's next ticket is granted after the 30 of the other one.

--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -200,7 +200,8 @@
 	g.capacity.submitted(t.Tier)
 	g.recordUnreachable(now, &t)
 	verdict, _ := g.verdict(now, &t)
-	w := g.queue.push(t, g.set(t.Version), t.Deadline, verdict != VerdictClean)
+	set := g.set(t.Version)
+	w := g.queue.push(t, set, virtualCost(&t, set.usableOutput(now, &t)), t.Deadline, verdict != VerdictClean)
 	g.queue.setLatest(w, g.latestDispatch(w))
 	return g.decide(now)
 }
--- a/scheduler/link_test.go
+++ b/scheduler/link_test.go
@@ -52,3 +52,23 @@
 	g.Complete(t0, served(2))
 	require.False(t, g.targets["x"].busyUntil.After(t0))
 }
+
+// Guards against a workspace that waits behind all others for hours after one request that
+// allowed more output than it could send until it was due.
+func TestLargeRequestCostsNoMoreThanItCanUse(t *testing.T) {
+	of := func(workspace string, output int) func(*Ticket) {
+		return func(t *Ticket) {
+			t.Workspace, t.OutputTokens, t.Finish = workspace, output, t0.Add(10*time.Second)
+		}
+	}
+	g := testGroup(GroupConfig{}, Target{Name: "x", Concurrency: 1, PrefillTokensPerSecond: 60_000, DecodeTokensPerSecond: 100})
+	running := g.Submit(t0, testTicket(99, of("first", 100)))
+	require.Len(t, running, 1)
+	g.Submit(t0, testTicket(0, of("a", math.MaxInt32)))
+	for n := range 30 {
+		g.Submit(t0, testTicket(10+n, of("b", 100)))
+	}
+	g.Submit(t0, testTicket(1, of("a", 100)))
+	order := drain(g, running)
+	require.Contains(t, order[:20], 1, "order of the grants: %v", order)
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -89,11 +89,12 @@
 	return c
 }
 
-// push adds a ticket. latest is the last useful time of a dispatch.
-func (q *queue) push(ticket Ticket, set *versionSet, latest time.Time, suspect bool) *waiting {
+// push adds a ticket. cost is its length in virtual time, latest the last useful time of a
+// dispatch.
+func (q *queue) push(ticket Ticket, set *versionSet, cost float64, latest time.Time, suspect bool) *waiting {
 	tier := q.tier(ticket.Tier)
 	q.sequence++
-	w := &waiting{ticket: ticket, sequence: q.sequence, latest: latest, cost: virtualCost(&ticket)}
+	w := &waiting{ticket: ticket, sequence: q.sequence, latest: latest, cost: cost}
 	w.class = tier.class(ticket.Version, set, suspect)
 	w.start = max(tier.virtualTime, tier.finish[ticket.Workspace])
 	end := w.start + w.cost
@@ -114,12 +115,12 @@
 }
 
 // virtualCost is a ticket's length in virtual time; tickets without tokens count as one.
-func virtualCost(t *Ticket) float64 {
+func virtualCost(t *Ticket, output int) float64 {
 	weight := t.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	return float64(max(1, t.PromptTokens+t.OutputTokens)) / weight
+	return float64(max(1, t.PromptTokens+output)) / weight
 }
 
 // removeGranted removes a ticket that was granted a target.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -234,6 +234,15 @@
 	return seconds((v.base + v.perToken*float64(uncached)) * (1 + v.margin))
 }
 
+// usableOutput returns the output tokens that any member can generate until the response is
+// due. Callers may allow far more.
+func (v *versionSet) usableOutput(now time.Time, t *Ticket) int {
+	if t.Finish.IsZero() || v.interval <= 0 || math.IsInf(v.interval, 1) {
+		return t.OutputTokens
+	}
+	return min(t.OutputTokens, int(t.Finish.Sub(now).Seconds()/v.interval))
+}
+
 // rebuildSets reassigns the targets to version sets. The sets themselves are
 // reused because classes of waiting tickets refer to them.
 func (g *Group) rebuildSets(now time.Time) {
