broker: a session ends if its group does not take a message

Cause: since the wait for room in a group's queue is bounded, but the server side of a remote stream ignores a failed send, as it only followed the end of the session before. A message of a remote entry, with its tickets and completions, would have been lost while the stream went on.

Change: Send closes the session if it fails; the entry is asked to join again and resends its tickets.

Test: TestSessionEndsIfItsGroupIsBusy (broker); on the code before Receive does not return.

--- a/broker/busy_test.go
+++ b/broker/busy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -54,6 +55,29 @@
 	})
 }
 
+// Guards against a message that a busy group did not take and its entry never sends again.
+func TestSessionEndsIfItsGroupIsBusy(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFakeFleet(ctx, "a")
+		session, err := f.managers["a"].Join(&pb.Hello{Instance: "entry", Incarnation: 1, Pool: testKey.Pool})
+		require.NoError(t, err)
+		release := make(chan struct{})
+		defer close(release)
+		require.NoError(t, session.runner.post(ctx, func(time.Time) []scheduler.Decision {
+			<-release
+			return nil
+		}))
+		for range 2 * eventQueue {
+			if err = session.Send(&pb.TicketsRequest{}); err != nil {
+				break
+			}
+		}
+		require.Error(t, err)
+		_, err = session.Receive()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
+
 // Guards against a link that waits for an owner whose process does not read.
 func TestSendToAnOwnerThatDoesNotReadReturns(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/broker/session.go
+++ b/broker/session.go
@@ -38,14 +38,19 @@
 	}
 }
 
-// Send passes a request to the group.
+// Send passes a request to the group. The session ends if the group does not take it, so that
+// the entry sends everything again.
 func (s *Session) Send(request *pb.TicketsRequest) error {
 	if s.ctx.Err() != nil {
 		return io.EOF
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
 	defer cancel()
-	return s.runner.post(ctx, s.runner.handle(s, request))
+	err := s.runner.post(ctx, s.runner.handle(s, request))
+	if err != nil {
+		s.close()
+	}
+	return err
 }
 
 // Receive returns the next response, or io.EOF when the session has ended.
