mirror: during an outage the feed is asked without a wait

Cause: a call of the feed waits up to 2 s for a change and 0.7 s more for its response, in an outage too. Since an outage was probed by full reads instead; a table of more than 500 rows takes several calls, so while the store refuses some calls it would hardly succeed.

Change: during an outage the feed is asked with a wait of 0; the full read follows the first response.

Test: TestFeedIsAskedDuringAnOutage (mirror).

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -273,9 +273,8 @@
 			sleep(ctx, readsCheckInterval)
 			continue
 		}
-		startedAt := time.Now()
-		// After an outage the feed holds many changes of the same rows.
-		reload = reload || t.StoreUnavailable() || startedAt.Sub(loadedAt) >= reloadInterval
+		startedAt, unavailable := time.Now(), t.StoreUnavailable()
+		reload = reload || startedAt.Sub(loadedAt) >= reloadInterval && !unavailable
 		err := t.update(ctx, reload)
 		switch {
 		case ctx.Err() != nil:
@@ -291,7 +290,8 @@
 			if reload {
 				loadedAt = startedAt
 			}
-			retry, reload = minRetry, false
+			// After an outage the feed's response holds many changes of the same rows.
+			retry, reload = minRetry, unavailable && !reload
 			sleep(ctx, minWatchInterval-time.Since(startedAt))
 		}
 	}
@@ -311,8 +311,11 @@
 		}
 		return nil
 	}
-	after := t.Version()
-	changes, err := t.source.Watch(ctx, t.name, after, watchWait)
+	after, wait := t.Version(), watchWait
+	if t.StoreUnavailable() {
+		wait = 0 // a call that waits tells late that the store responds again
+	}
+	changes, err := t.source.Watch(ctx, t.name, after, wait)
 	if err == nil || errors.Is(err, ErrCompacted) {
 		t.recordResult(nil)
 	}
--- a/mirror/repair_test.go
+++ b/mirror/repair_test.go
@@ -15,20 +15,26 @@
 )
 
 // faultySource is a Source whose feed delivers the given changes once, whatever its rows are,
-// and can fail.
+// and can fail: calls then end without a response after silence.
 type faultySource struct {
 	mu      sync.Mutex
 	version int64
 	rows    []mirror.Row
 	changes []mirror.Change
 	fail    bool
+	// loads counts the full reads.
+	loads int
 }
 
+// silence is how long a call without a response takes beyond its wait.
+const silence = 700 * time.Millisecond
+
 var errSource = errors.New("no response")
 
 func (s *faultySource) Load(context.Context, string) ([]mirror.Row, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.loads++
 	if s.fail {
 		return nil, 0, errSource
 	}
@@ -44,6 +50,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail {
+		s.mu.Unlock()
+		time.Sleep(silence)
+		s.mu.Lock()
 		return mirror.Changes{}, errSource
 	}
 	changes := mirror.Changes{Rows: s.changes, Version: s.version}
@@ -141,3 +150,25 @@
 		require.Zero(t, unrecorded)
 	})
 }
+
+// Guards against changes that come late after an outage, because a call of the feed that began
+// in it waits on, and against full reads while the store responds to some calls only: a large
+// table takes several calls.
+func TestFeedIsAskedDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, table := startFaulty(t)
+		time.Sleep(5 * time.Second)
+		source.setFailing(true)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, source.loads)
+		source.setFailing(false)
+		changed := mirror.Row{Key: "worker", Value: []byte("changed"), Version: 2}
+		source.setRows(changed)
+		source.deliver(mirror.Change{Row: changed})
+		// One call, and the longest wait between two calls.
+		time.Sleep(silence + 900*time.Millisecond)
+		require.Equal(t, "changed", value(table, "worker"))
+		time.Sleep(time.Second)
+		require.Equal(t, 2, source.loads, "one full read after the outage")
+	})
+}
