instance: an instance that returns during the removal of its row gets it back

Cause: an instance that reported again while the duty's owner was removing its row was taken for one whose row had not been touched; and one that had been listed by a peer in between was not taken for returned at all.

Change: an entry remembers that the removal has begun; a first report, not the discovery, tells that a peer has returned.

Test: TestInstanceThatReturnsDuringTheRemovalGetsItsRow (internal/instance), seen failing before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,10 +104,10 @@
 	// OnReport is called with each new report.
 	OnReport func(*pb.FleetReport)
 	// OnRemoved is called with a peer that is removed because it sends no reports, and
-	// OnDiscovered with one that reports and was not known. Both may be nil and must not call
-	// the Fleet.
+	// OnDiscovered with the sender of a first report. Both may be nil and must not call the
+	// Fleet.
 	OnRemoved, OnDiscovered func(*pb.FleetMember)
-	Log      *zap.Logger
+	Log                     *zap.Logger
 }
 
 // Fleet is one instance's view of its peers.
@@ -315,11 +315,6 @@
 		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), DiscoveredAt: now}
 		f.peers[m.GetInstance()] = p
 		f.completeUntil = now.Add(completeReportsPeriod)
-		if !ok && f.settings.OnDiscovered != nil {
-			f.settings.OnDiscovered(&pb.FleetMember{
-				Instance: p.Name, Incarnation: p.Incarnation, Address: m.GetAddress(), Zone: m.GetZone(),
-			})
-		}
 		f.settings.Log.Info("peer discovered", zap.String(field.Peer, p.Name), zap.Uint64(field.Incarnation, p.Incarnation))
 	}
 	if m.GetIncarnation() < p.Incarnation || (p.Report != nil && m.GetSequence() <= p.Report.GetSequence()) {
@@ -328,11 +323,14 @@
 	if !p.LastReportAt.IsZero() && f.isUnresponsive(p, now) {
 		f.settings.Log.Info("peer sends reports again", zap.String(field.Peer, p.Name), zap.Duration(field.SinceLastReport, now.Sub(p.LastReportAt)))
 	}
-	moved := p.Zone != m.GetZone()
+	moved, first := p.Zone != m.GetZone(), p.LastReportAt.IsZero()
 	p.Address, p.Zone, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), m.GetZone(), now, m, m.GetLeaving()
 	if !ok || moved {
 		f.updateScheduleLocked()
 	}
+	if first && f.settings.OnDiscovered != nil {
+		f.settings.OnDiscovered(p.member())
+	}
 	return true
 }
 
--- a/internal/instance/lost.go
+++ b/internal/instance/lost.go
@@ -37,9 +37,9 @@
 type lostInstance struct {
 	member *pb.FleetMember
 	lostAt time.Time
-	// rowRemoved is set once this instance has removed the row, returned once the peer
-	// reports again.
-	rowRemoved, returned bool
+	// removing is set once this instance begins to remove the row, rowRemoved once it has, and
+	// returned once the peer reports after that.
+	removing, rowRemoved, returned bool
 }
 
 // removed records a peer that is counted as gone.
@@ -60,7 +60,7 @@
 	if !ok {
 		return
 	}
-	if !lost.rowRemoved || lost.member.GetIncarnation() != m.GetIncarnation() {
+	if !lost.removing || lost.member.GetIncarnation() != m.GetIncarnation() {
 		delete(l.byName, m.GetInstance())
 		return
 	}
@@ -81,7 +81,10 @@
 		switch {
 		case now.Sub(lost.lostAt) > retention:
 			delete(l.byName, name)
-		case lost.returned, remove && !lost.rowRemoved:
+		case lost.returned:
+			due = append(due, *lost)
+		case remove && !lost.rowRemoved:
+			lost.removing = true
 			due = append(due, *lost)
 		}
 	}
@@ -92,12 +95,11 @@
 func (l *lostInstances) done(entry lostInstance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	name := entry.member.GetInstance()
-	lost, ok := l.byName[name]
+	lost, ok := l.byName[entry.member.GetInstance()]
 	switch {
-	case !ok || lost.member != entry.member:
+	case !ok || lost.lostAt != entry.lostAt:
 	case entry.returned:
-		delete(l.byName, name)
+		delete(l.byName, entry.member.GetInstance())
 	default:
 		lost.rowRemoved = true
 	}
--- a/internal/instance/lost_test.go
+++ b/internal/instance/lost_test.go
@@ -79,3 +79,23 @@
 	require.Eventually(t, func() bool { return len(n.lost.due(time.Now(), true)) == 0 }, contactTime, 20*time.Millisecond)
 	require.Equal(t, uint64(2), incarnation())
 }
+
+// Guards against the loss of a row that is being removed while its instance returns.
+func TestInstanceThatReturnsDuringTheRemovalGetsItsRow(t *testing.T) {
+	var lost lostInstances
+	member := &pb.FleetMember{Instance: "away", Incarnation: 1}
+	lost.removed(member)
+	removing := lost.due(time.Now(), true)
+	require.Len(t, removing, 1)
+	lost.returned(member)
+	lost.done(removing[0])
+	writing := lost.due(time.Now(), false)
+	require.Len(t, writing, 1)
+	require.True(t, writing[0].returned)
+	lost.done(writing[0])
+	require.Empty(t, lost.due(time.Now(), true))
+	// A peer that returns before its row is touched needs nothing.
+	lost.removed(member)
+	lost.returned(member)
+	require.Empty(t, lost.due(time.Now(), true))
+}
