--- a/broker/link.go
+++ b/broker/link.go
@@ -19,8 +19,9 @@
 )
 
 // link maintains one group's ticket stream to the group's owner. Its goroutine owns
-// all its fields except commands and lastResponseNanos, and never waits for the owner. When the owner changes or the
-// stream breaks, the link resends the waiting tickets and the grants in use.
+// all its fields except commands and lastResponseNanos, and never waits for the owner.
+// When the owner changes or the stream breaks, the link resends the waiting tickets and
+// the grants in use.
 type link struct {
 	client   *Client
 	key      GroupKey
