--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -21,12 +21,8 @@
 // applyTime is the time within which a change must take effect.
 const applyTime = 2500 * time.Millisecond
 
-// startTable starts a table that follows a stand-in of the store.
-func startTable(t *testing.T) (*platformstore.Store, *httptest.Server, *mirror.Table) {
-	t.Helper()
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	table := mirror.NewTable("op", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), zap.NewNop())
+// follow runs a table until the end of the test.
+func follow(t *testing.T, table *mirror.Table) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -36,9 +32,20 @@
 	t.Cleanup(func() {
 		cancel()
 		<-ended
+	})
+}
+
+// startTable starts a table that follows a stand-in of the store.
+func startTable(t *testing.T) (*platformstore.Store, *httptest.Server, *mirror.Table) {
+	t.Helper()
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	table := mirror.NewTable("op", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), zap.NewNop())
+	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
+	follow(t, table)
 	return store, server, table
 }
 
@@ -66,16 +73,7 @@
 		calls.Go(func() { _, err := client.Watch(t.Context(), "op", 1, 200*time.Millisecond); assert.NoError(t, err) })
 	}
 	calls.Wait()
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		table.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	follow(t, table)
 	require.Eventually(t, func() bool { return value(table, "config") == "first" }, applyTime, 5*time.Millisecond)
 	store.Put("op", "config", []byte("second"))
 	require.Eventually(t, func() bool { return value(table, "config") == "second" }, applyTime, 5*time.Millisecond)
@@ -170,13 +168,13 @@
 	defer cancel()
 	before := staticSource{{Key: "a", Version: 1}, {Key: "b", Version: 2}, {Key: "c", Version: 3}}
 	after := staticSource{{Key: "a", Version: 1}, {Key: "c", Version: 5, Value: []byte("new")}, {Key: "d", Version: 6}}
-	follow := func(source staticSource) *mirror.Table {
+	start := func(source staticSource) *mirror.Table {
 		table := mirror.NewTable("op", source, zap.NewNop())
 		go table.Run(ctx)
 		require.Eventually(t, func() bool { return table.Current() != nil }, applyTime, time.Millisecond)
 		return table
 	}
-	table, peer, other := follow(before), follow(after), follow(staticSource{{Key: "x", Version: 2}, {Key: "y", Version: 3}})
+	table, peer, other := start(before), start(after), start(staticSource{{Key: "x", Version: 2}, {Key: "y", Version: 3}})
 	difference := peer.CopyAfter(table.Version())
 	require.Len(t, difference.Rows, 2, "only the rows that changed")
 	applied, err := table.ApplyFromPeer(difference)
--- a/mirror/repair_test.go
+++ b/mirror/repair_test.go
@@ -85,18 +85,9 @@
 
 // startFaulty starts a table that follows a faultySource, in a synctest bubble.
 func startFaulty(t *testing.T) (*faultySource, *mirror.Table) {
-	ctx, cancel := context.WithCancel(t.Context())
 	source := &faultySource{version: 1, rows: []mirror.Row{{Key: "worker", Value: []byte("live"), Version: 1}}}
 	table := mirror.NewTable("servers", source, zap.NewNop())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		table.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	follow(t, table)
 	return source, table
 }
 
