--- a/internal/instance/memory_test.go
+++ b/internal/instance/memory_test.go
@@ -99,6 +99,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(env.t, err)
 	env.t.Cleanup(func() { _ = listener.Close() })
+	long := []byte(response)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -111,7 +112,10 @@
 				if err != nil {
 					return
 				}
-				_, _ = conn.Write([]byte(strings.Replace(response, "ID", request.Header.Get("Request-Id"), 1)))
+				// A copy of the long part for each request would count as the instance's memory.
+				head, rest, _ := strings.Cut(response, "ID")
+				_, _ = io.WriteString(conn, head+request.Header.Get("Request-Id"))
+				_, _ = conn.Write(long[len(long)-len(rest):])
 				_, _ = conn.Read(make([]byte, 1)) // until the instance closes the connection
 			}()
 		}
