--- a/review/standin2/crashing.go
+++ b/review/standin2/crashing.go
@@ -39,11 +39,11 @@
 	arrived := func(w *worker, _, body string, at time.Time) {
 		if r, ok := runs[body]; ok {
 			r.arrived(at)
-			f.record.printf("%q reaches worker %s", body, w.id)
+			f.record.printf("%q reaches worker %s", body, w.currentID())
 		}
 	}
 	for zone := range zones {
-		if _, err := f.startWorker(fmt.Sprintf("i-7f3a91c%d", zone), zone, crashes, arrived); err != nil {
+		if err := f.startWorker(fmt.Sprintf("i-7f3a91c%d", zone), false, zone, crashes, arrived); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -150,10 +150,12 @@
 // instance is one process of basilloomd.
 type instance struct {
 	name, zone, ip string
-	command        *exec.Cmd
-	ended          chan struct{}
-	frontend       string
-	ready          string
+	// settings is the path of the settings file.
+	settings string
+	command  *exec.Cmd
+	ended    chan struct{}
+	frontend string
+	ready    string
 }
 
 func newFleet(record *record) (*fleet, error) {
@@ -247,7 +249,6 @@
 	z := zones[zone]
 	i := &instance{
 		name: fmt.Sprintf("front-%s-%d", z.name, number), zone: z.name, ip: fmt.Sprintf("%s.%d", f.network, 10+number),
-		ended: make(chan struct{}),
 	}
 	address := func(offset int) string { return fmt.Sprintf("%s:%d", i.ip, f.basePort+offset) }
 	i.frontend, i.ready = address(8), address(9)
@@ -258,27 +259,62 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(f.folder, i.name+".log"))
-	if err != nil {
+	i.settings = path
+	if err := i.launch(f); err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	f.instances = append(f.instances, i)
+	f.mu.Unlock()
+	f.record.printf("started %s in %s", i.name, i.zone)
+	return i, i.waitReady()
+}
+
+// launch starts the process of an instance.
+func (i *instance) launch(f *fleet) error {
+	log, err := os.OpenFile(filepath.Join(f.folder, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
 	i.command = exec.CommandContext(context.Background(), binary, runArguments...)
-	i.command.Env = []string{"BASILLOOM_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	i.command.Env = []string{"BASILLOOM_BOOT=" + i.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	i.command.Stdout, i.command.Stderr = log, log
 	if err := i.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
+	command, ended := i.command, make(chan struct{})
+	i.ended = ended
 	go func() {
-		defer close(i.ended)
-		err := i.command.Wait()
+		defer close(ended)
+		err := command.Wait()
 		f.record.log("process %s ended: %v", i.name, err)
 		_ = log.Close() // the process has ended
 	}()
-	f.mu.Lock()
-	f.instances = append(f.instances, i)
-	f.mu.Unlock()
-	f.record.printf("started %s in %s", i.name, i.zone)
-	return i, i.waitReady()
+	return nil
+}
+
+// killAll kills all processes at once and starts them again after a time.
+func (f *fleet) killAll(away time.Duration) error {
+	f.record.printf("all processes are killed")
+	for _, i := range f.instances {
+		_ = i.command.Process.Kill() // it may have ended
+	}
+	for _, i := range f.instances {
+		<-i.ended
+	}
+	time.Sleep(away)
+	for _, i := range f.instances {
+		if err := i.launch(f); err != nil {
+			return err
+		}
+	}
+	f.record.printf("all processes are started again")
+	for _, i := range f.instances {
+		if err := i.waitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (i *instance) waitReady() error {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,7 +28,8 @@
 type scenario func(f *fleet, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"crashing-request": playCrashingRequest,
+	"crashing-request":  playCrashingRequest,
+	"crash-and-restart": playCrashAndRestart,
 }
 
 func main() {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -17,18 +17,23 @@
 	workTime = 30 * time.Millisecond
 	// restartDelay is how long a worker that crashed is away.
 	restartDelay = 2 * time.Second
+	// entryLifetime is how long an entry stays without a heartbeat.
+	entryLifetime = 3 * heartbeat
 	// workerSlots is the number of requests that a worker runs at once.
 	workerSlots = 6
 )
 
 // worker is a stand-in of a worker of the plain service. A request whose body the crash
 // function selects ends the worker as soon as it begins to run; it is back after restartDelay
-// with the same id and address and a later start time.
+// at the same address with a later start time, under the same id or a new one.
 type worker struct {
-	fleet    *fleet
-	id, zone string
-	address  string
-	crashes  func(body string) bool
+	fleet *fleet
+	name  string
+	zone  string
+	// newIDs is set if each start has an id of its own.
+	newIDs  bool
+	address string
+	crashes func(body string) bool
 	// arrived is called with each request that reaches the worker.
 	arrived func(w *worker, id, body string, at time.Time)
 	ctx     context.Context
@@ -36,6 +41,8 @@
 	slots   chan struct{}
 
 	mu       sync.Mutex
+	id       string
+	starts   int
 	listener net.Listener
 	conns    map[net.Conn]bool
 	born     int64
@@ -44,20 +51,20 @@
 }
 
 // startWorker starts a worker in a zone and registers it.
-func (f *fleet) startWorker(id string, zone int, crashes func(string) bool, arrived func(*worker, string, string, time.Time)) (*worker, error) {
+func (f *fleet) startWorker(name string, newIDs bool, zone int, crashes func(string) bool, arrived func(*worker, string, string, time.Time)) error {
 	w := &worker{
-		fleet: f, id: id, zone: zones[zone].name, address: "127.0.0.1:0", crashes: crashes, arrived: arrived,
+		fleet: f, name: name, newIDs: newIDs, zone: zones[zone].name, address: "127.0.0.1:0", crashes: crashes, arrived: arrived,
 		slots: make(chan struct{}, workerSlots),
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	if err := w.listen(); err != nil {
-		return nil, err
+		return err
 	}
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
 	go w.beat()
-	return w, nil
+	return nil
 }
 
 func (w *worker) listen() error {
@@ -68,6 +75,11 @@
 	w.mu.Lock()
 	w.listener, w.address, w.conns = listener, listener.Addr().String(), make(map[net.Conn]bool)
 	w.born, w.sequence, w.up = time.Now().UnixMilli(), 0, true
+	w.starts++
+	w.id = w.name
+	if w.newIDs {
+		w.id = fmt.Sprintf("%s%d", w.name, w.starts)
+	}
 	w.mu.Unlock()
 	go w.accept(listener)
 	return w.register()
@@ -81,8 +93,9 @@
 		"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": workerSlots, "state": "ready",
 		"cold_left_ms": 0, "sequence": w.sequence, "born": w.born,
 	}
+	id := w.id
 	w.mu.Unlock()
-	return w.fleet.put(tableServers, w.id, entry)
+	return w.fleet.put(tableServers, id, entry)
 }
 
 // beat repeats the entry while the worker is up.
@@ -99,7 +112,7 @@
 			w.mu.Unlock()
 			if up {
 				if err := w.register(); err != nil {
-					w.fleet.record.printf("entry of %s not written: %v", w.id, err)
+					w.fleet.record.printf("entry of %s not written: %v", w.name, err)
 				}
 			}
 		}
@@ -129,19 +142,29 @@
 	if !w.crash() {
 		return
 	}
-	w.fleet.record.printf("worker %s crashes", w.id)
+	crashed := w.currentID()
+	w.fleet.record.printf("worker %s crashes", crashed)
+	if w.newIDs {
+		time.AfterFunc(entryLifetime, func() { w.fleet.store.Delete(tableServers, crashed) })
+	}
 	time.AfterFunc(restartDelay, func() {
 		if w.ctx.Err() != nil {
 			return
 		}
 		if err := w.listen(); err != nil {
-			w.fleet.record.printf("worker %s not restarted: %v", w.id, err)
+			w.fleet.record.printf("worker %s not restarted: %v", crashed, err)
 			return
 		}
-		w.fleet.record.printf("worker %s is back under the same id", w.id)
+		w.fleet.record.printf("worker %s is back as %s", crashed, w.currentID())
 	})
 }
 
+func (w *worker) currentID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
 func (w *worker) close() {
 	w.cancel()
 	w.crash()
@@ -190,16 +213,16 @@
 
 // handle runs one request and reports whether the connection stays open.
 func (w *worker) handle(conn net.Conn, r *http.Request, body string) bool {
-	id := r.Header.Get(requestIDHeader)
-	if expected := r.Header.Get(expectHeader); expected != "" && expected != w.id {
+	id, own := r.Header.Get(requestIDHeader), w.currentID()
+	if expected := r.Header.Get(expectHeader); expected != "" && expected != own {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
-			requestIDHeader, id, instanceIDHeader, w.id)
+			requestIDHeader, id, instanceIDHeader, own)
 		return err == nil
 	}
 	w.arrived(w, id, body, time.Now())
 	w.slots <- struct{}{}
 	defer func() { <-w.slots }()
-	w.fleet.record.log("worker %s runs %s %s %s", w.id, id, r.Method, r.RequestURI)
+	w.fleet.record.log("worker %s runs %s %s %s", own, id, r.Method, r.RequestURI)
 	if w.crashes(body) {
 		w.crashAndRestart()
 		return false
@@ -207,6 +230,6 @@
 	time.Sleep(workTime)
 	text := r.Method + " " + r.RequestURI + " " + body
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s",
-		requestIDHeader, id, sealHeader, w.id, id, len(text), text)
+		requestIDHeader, id, sealHeader, own, id, len(text), text)
 	return err == nil
 }
