review: loss of machines shortly before a final fault (case 8)

Cause: a row of a lost machine is removed only by an instance that has missed its reports for 25 s itself; its successor gives all rows another 25 s and leaves each a part of all quotas.

--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -51,6 +51,7 @@
 	targetLatencyMs   = 200
 	unsafeMaxAttempts = 1
 	safeMaxAttempts   = 2
+	defaultRate       = 72000
 )
 
 // zones are the availability zones of the deployment with their regions.
@@ -141,6 +142,8 @@
 	storeAddress, network string
 	basePort              int
 	version               int64
+	// quotaRate is the workspace's quota in tokens a second.
+	quotaRate int
 
 	mu        sync.Mutex
 	instances []*instance
@@ -170,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: record, folder: folder, store: platformstore.New(), storeAddress: listener.Addr().String()}
+	f := &fleet{record: record, folder: folder, store: platformstore.New(), storeAddress: listener.Addr().String(), quotaRate: defaultRate}
 	f.store.SetFaults(platformstore.Faults{Delay: storeDelay})
 	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: readyTimeout}
 	go func() {
@@ -227,7 +230,7 @@
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 2000, "idle_timeout_ms": 20000,
 		},
 		"tenants": []any{map[string]any{
-			"name": workspace, "api_keys": []string{apiKey}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 72000, "burst": 72000,
+			"name": workspace, "api_keys": []string{apiKey}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": f.quotaRate, "burst": f.quotaRate,
 		}},
 	})
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 var scenarios = map[string]scenario{
 	"crashing-request":  playCrashingRequest,
 	"crash-and-restart": playCrashAndRestart,
+	"loss-and-restart":  playRecover,
 }
 
 func main() {
