--- a/review/standin2/crashing.go
+++ b/review/standin2/crashing.go
@@ -14,7 +14,7 @@
 	// before the next one.
 	crashInterval = 4 * time.Second
 	// attemptsSent is the number of attempts, half of which send each content.
-	attemptsSent = 22
+	attemptsSent = 24
 	// allowedCrashes and allowedRetries are those of the rule BUDGET.
 	allowedCrashes = 3
 	allowedRetries = 3
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -190,9 +190,11 @@
 func (f *fleet) stop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var stopping sync.WaitGroup
 	for _, i := range f.instances {
-		i.stop()
+		stopping.Go(i.stop)
 	}
+	stopping.Wait()
 	for _, w := range f.workers {
 		w.close()
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,7 +21,7 @@
 )
 
 // maxDuration is the longest time that a case may take.
-const maxDuration = 108 * time.Second
+const maxDuration = 110 * time.Second
 
 // scenario plays a case. It returns whether the rule was broken, and an error if the case
 // could not run.
