--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -40,9 +40,9 @@
 		request.Body, request.GetBody, request.ContentLength = http.NoBody, nil, 0
 	}
 	request.Host = routeHost
-	request.Header.Set(requestIDHeader, id)
-	request.Header.Set(keyHeader, "Token "+apiKey)
-	request.Header.Set(timeoutHeader, strconv.Itoa(clientTimeoutMs))
+	request.Header.Set(headers.RequestID, id)
+	request.Header.Set(headers.Key, "Token "+apiKey)
+	request.Header.Set(headers.Timeout, strconv.Itoa(clientTimeoutMs))
 	c.record.log("sent %s %s %s to %s", id, method, path, to.name)
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -55,7 +55,7 @@
 		c.record.log("broken answer to %s: %v", id, err)
 		return id, 0
 	}
-	c.record.log("answer to %s: %d, seal %q, %s", id, response.StatusCode, response.Header.Get(sealHeader), strings.TrimSpace(string(text)))
+	c.record.log("answer to %s: %d, seal %q, %s", id, response.StatusCode, response.Header.Get(headers.Seal), strings.TrimSpace(string(text)))
 	return id, response.StatusCode
 }
 
