review: crashes are counted as such in cases 6 and 10

Cause: the check counted the third arrival as the third crash, so it had to be switched off with TROUBLE=0, where nothing crashes.

The check now counts crashes and is the same with and without the disruption.

--- a/review/standin2/crashing.go
+++ b/review/standin2/crashing.go
@@ -38,7 +38,7 @@
 	crashes := func(body string) bool { return trouble && runs[body] != nil }
 	arrived := func(w *worker, _, body string, at time.Time) {
 		if r, ok := runs[body]; ok {
-			r.arrived(at)
+			r.arrived(at, crashes(body))
 			f.record.printf("%q reaches worker %s", body, w.currentID())
 		}
 	}
@@ -77,7 +77,7 @@
 		total, late := runs[body].counts()
 		f.record.printf("%q reached workers %d times, %d of them in attempts sent later than %v after the third crash; allowed %d",
 			body, total, late, contactTime, allowedRetries)
-		broken = broken || trouble && late > allowedRetries
+		broken = broken || late > allowedRetries
 	}
 	return broken, nil
 }
@@ -87,6 +87,7 @@
 	mu       sync.Mutex
 	lastSent time.Time
 	total    int
+	crashes  int
 	late     int
 	// thirdCrash is when the request crashed the third worker.
 	thirdCrash time.Time
@@ -98,11 +99,15 @@
 	r.lastSent = at
 }
 
-func (r *crashRuns) arrived(at time.Time) {
+// arrived counts an arrival; crashed states that it crashes its worker.
+func (r *crashRuns) arrived(at time.Time, crashed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.total++
-	if r.total == allowedCrashes {
+	if crashed {
+		r.crashes++
+	}
+	if r.thirdCrash.IsZero() && r.crashes == allowedCrashes {
 		r.thirdCrash = at
 	}
 	if !r.thirdCrash.IsZero() && r.lastSent.Sub(r.thirdCrash) > contactTime {
--- a/review/standin2/restarts.go
+++ b/review/standin2/restarts.go
@@ -24,17 +24,16 @@
 		return false, err
 	}
 	content, runs := crashingBodies[0], &crashRuns{}
+	crashes := func(body string) bool { return trouble && body == content }
 	arrived := func(w *worker, _, body string, at time.Time) {
 		if body == content {
-			runs.arrived(at)
+			runs.arrived(at, crashes(body))
 			f.record.printf("the request reaches worker %s", w.currentID())
 		}
 	}
 	for zone := range zones {
 		for n := range 2 {
-			err := f.startWorker(fmt.Sprintf("i-%da%d-", zone, n), true, zone,
-				func(body string) bool { return trouble && body == content }, arrived)
-			if err != nil {
+			if err := f.startWorker(fmt.Sprintf("i-%da%d-", zone, n), true, zone, crashes, arrived); err != nil {
 				return false, err
 			}
 		}
@@ -70,5 +69,5 @@
 	total, late := runs.counts()
 	f.record.printf("the request reached workers %d times, %d of them in attempts sent later than %v after the third crash; allowed %d",
 		total, late, contactTime, allowedRetries)
-	return trouble && late > allowedRetries, nil
+	return late > allowedRetries, nil
 }
