forward, http1: a reset during an upload is not the end of a response

Callers saw: a part of a response as a complete one, with 200. A worker answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: a response without a length or chunks ends with its connection. Long uploads are written while the response is read, and the kernel returns the error of a connection once, to whichever of writer and reader asks first. If it was the writer, the next read returned the end of the data, and the body took this for a clean end. The result of the writer was looked at only to decide whether the connection can be reused.

Change: package http1 wraps the connection. A read that returns io.EOF first stops a write in progress and looks at its result; if a write met an error of the connection, the read returns that error. EPIPE is no such error: the server had closed its side before it refused further data, so a response that ends cleanly before its upload was read stays complete. An error of a read is returned again by later reads, which the kernel would answer with the end.

--- a/forward/pool.go
+++ b/forward/pool.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/basilloom/basilloom/internal/http1"
 )
 
 // Timeouts and sizes of connections.
@@ -89,7 +91,7 @@
 
 // conn is a connection to a target. One request uses it at a time.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	target Target
 	reader *bufio.Reader
 	limit  *limitedReader
@@ -158,8 +160,9 @@
 	p.opened.Add(1)
 	now := time.Now()
 	p.connects.record(now, target.Zone, now.Sub(began))
-	limit := &limitedReader{reader: opened, left: math.MaxInt64}
-	return &conn{Conn: opened, target: target, reader: bufio.NewReaderSize(limit, readBufferLen), limit: limit}, nil
+	wire := http1.NewConn(opened)
+	limit := &limitedReader{reader: wire, left: math.MaxInt64}
+	return &conn{Conn: wire, target: target, reader: bufio.NewReaderSize(limit, readBufferLen), limit: limit}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
@@ -194,7 +197,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return true
 	}
--- /dev/null
+++ b/internal/instance/broken_responses_test.go
@@ -0,0 +1,85 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilloom/basilloom/internal/standin/rawserver"
+	"github.com/basilloom/basilloom/internal/standin/worker"
+)
+
+// rawWorker registers a worker that serves each connection by a function.
+func (env *testEnv) rawWorker(id string, serve func(*rawserver.Conn)) {
+	server, err := rawserver.Start(serve)
+	require.NoError(env.t, err)
+	env.t.Cleanup(server.Close)
+	env.register(&worker.Worker{ID: id, Listener: server.Listener}, "ready")
+}
+
+// rawID is the id of requests to raw workers, which may respond before they read it.
+const rawID = "raw-request"
+
+func (n *node) callRaw(t *testing.T, path, body string) callerResponse {
+	t.Helper()
+	return n.call(t, http.MethodPost, path, body, map[string]string{"Request-Id": rawID, "Deadline-Ms": "20000"})
+}
+
+// patientRoutes returns routes on which a request waits for a worker that has just failed, and
+// whose objective leaves time for a long upload.
+func patientRoutes() []route {
+	routes := testRoutes()
+	for i := range routes {
+		routes[i].TimeoutMs, routes[i].TargetLatencyMs = 20_000, 20_000
+	}
+	return routes
+}
+
+// Guards against a part of a response that reaches the caller as a complete one because the
+// worker reset the connection during the upload, and against a whole response that is lost.
+func TestResponseWithoutLengthToAnUpload(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: " + rawID + "\r\nResponse-Seal: s\r\n"
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	upload := strings.Repeat("x", 16<<20)
+	for _, ending := range rawserver.Endings {
+		for path, response := range map[string]string{
+			"/unsafe/1": head + "\r\n" + events,
+			"/stream/1": head + "Content-Type: text/event-stream\r\n\r\n" + events,
+		} {
+			t.Run(ending.Name+path, func(t *testing.T) {
+				t.Parallel()
+				env := newTestEnv(t)
+				env.maxBodyBytes = len(upload)
+				env.rawWorker("w-a", func(c *rawserver.Conn) { ending.Serve(c, response) })
+				env.configure(patientRoutes(), []string{testKey}, 0)
+				n := env.start("i1")
+				for range 3 {
+					got := n.callRaw(t, path, upload)
+					switch {
+					case ending.Clean:
+						require.NoError(t, got.err)
+						require.Equal(t, http.StatusOK, got.status, got.body)
+						require.Equal(t, events, got.body)
+					case path == "/stream/1" && got.status == http.StatusOK:
+						require.Error(t, got.err, "the stream must not look complete")
+					default:
+						requireMayHaveRun(t, got)
+					}
+				}
+			})
+		}
+	}
+}
+
+// requireMayHaveRun checks that the caller learns of a failure that does not state whether
+// the request ran.
+func requireMayHaveRun(t *testing.T, got callerResponse) {
+	t.Helper()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status, fmt.Sprintf("%q", got.body))
+	require.Empty(t, got.header.Get("Retry-After"))
+	require.Empty(t, got.header.Get("Not-Executed"))
+}
