engine: a response is not lost because its target refuses the rest of the upload

Callers saw: 502 in place of a whole response. A target had sent it before it read a long upload, closed its side cleanly, or gave the response a length, and then reset the connection.

Cause: net/http closes a connection when a write fails, although the kernel still holds bytes of the response that have not been read.

Change: a failed write returns to net/http only when the reader has met the end of the connection or the connection is closed. A broken connection does not make the reader wait: it reads what has arrived and then the end.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -56,6 +56,29 @@
 	mu     sync.Mutex
 	writes int64
 	sealed bool
+
+	// ended is closed when the reader has met the end of the connection, or it was closed.
+	ended    chan struct{}
+	endsOnce sync.Once
+}
+
+func newCountingConn(conn net.Conn) *countingConn {
+	return &countingConn{Conn: conn, ended: make(chan struct{})}
+}
+
+func (c *countingConn) end() { c.endsOnce.Do(func() { close(c.ended) }) }
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.end()
+	}
+	return n, err
+}
+
+func (c *countingConn) Close() error {
+	c.end()
+	return c.Conn.Close()
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
@@ -68,7 +91,13 @@
 	// A count that is too high only prevents a retry.
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		// net/http closes the connection when a write fails, and with it a response that a
+		// target sent before it refused the rest of the request.
+		<-c.ended
+	}
+	return n, err
 }
 
 func (c *countingConn) count() int64 {
@@ -109,7 +138,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return newCountingConn(conn), nil
 		},
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
