engine: a reset during an upload is not the end of a plain service's response

Callers of basilloomd serve saw: a part of a plain service's response as a complete one, with the outcome "served", if the service reset the connection during an upload.

Chat responses were not affected, as their end marker or finish reason is checked.

Change: the client of targets, also for management calls, uses the connections of package http1.

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/basilloom/basilloom/internal/http1"
 )
 
 // Headers of the engine protocol.
@@ -69,7 +71,7 @@
 	return &Client{
 		transport: newTransport(dialer),
 		manage: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2},
+			Transport: &http.Transport{DialContext: http1.DialContext(dialer.DialContext), IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2},
 			Timeout:   manageTimeout,
 		},
 	}
--- a/engine/endings_test.go
+++ b/engine/endings_test.go
@@ -57,3 +57,40 @@
 		})
 	}
 }
+
+// Guards against a part of a response that is taken for the whole one because the connection
+// broke while the request was written, and against a whole one that is taken for broken.
+func TestResponseWithoutLengthEndsCleanly(t *testing.T) {
+	const head, text = "HTTP/1.1 200 OK\r\n\r\n", "a response without a length"
+	upload := []byte(strings.Repeat("x", uploadBytes))
+	for _, ending := range rawserver.Endings {
+		// A late reader leaves the error of the connection to the writer.
+		for reader, lag := range map[string]time.Duration{"early reader": 0, "late reader": 4 * rawserver.Pause} {
+			t.Run(ending.Name+"/"+reader, func(t *testing.T) {
+				t.Parallel()
+				target := startRaw(t, func(c *rawserver.Conn) { ending.Serve(c, head+text) })
+				client := NewClient()
+				defer client.Close()
+				for range 5 {
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+					defer cancel()
+					response, err := client.Call(ctx, target, ServiceRequest{ID: "1", Method: http.MethodPost, Path: "/", Body: upload})
+					if err != nil {
+						require.False(t, ending.Clean, err)
+						continue
+					}
+					time.Sleep(lag)
+					body, err := io.ReadAll(response.Body)
+					require.NoError(t, response.Body.Close())
+					require.NoError(t, ctx.Err())
+					if ending.Clean {
+						require.NoError(t, err)
+						require.Equal(t, text, string(body))
+						continue
+					}
+					require.Error(t, err, "%d bytes of the response were taken for the whole", len(body))
+				}
+			})
+		}
+	}
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -14,6 +14,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/basilloom/basilloom/internal/http1"
 )
 
 // Parameters of the connections to targets.
@@ -138,7 +140,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return newCountingConn(conn), nil
+			return newCountingConn(http1.NewConn(conn)), nil
 		},
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/standin/rawserver/endings.go
+++ b/internal/standin/rawserver/endings.go
@@ -14,24 +14,26 @@
 	Name string
 	// Clean is set if the connection ends cleanly after the response.
 	Clean bool
+	// BeforeRequest is set if the connection may end before the request is written.
+	BeforeRequest bool
 	// Serve sends the response and ends the connection.
 	Serve func(c *Conn, response string)
 }
 
 // Endings are the ways to end a response before, while and after a long upload is read.
 var Endings = []Ending{
-	{"reset before the upload is written", false, func(c *Conn, response string) {
+	{Name: "reset before the upload is written", BeforeRequest: true, Serve: func(c *Conn, response string) {
 		c.Send(response)
 		c.Reset()
 	}},
-	{"reset before the upload is read", false, func(c *Conn, response string) {
+	{Name: "reset before the upload is read", Serve: func(c *Conn, response string) {
 		if _, err := c.Request(); err == nil {
 			c.Send(response)
 			time.Sleep(Pause)
 			c.Reset()
 		}
 	}},
-	{"reset while the upload is read", false, func(c *Conn, response string) {
+	{Name: "reset while the upload is read", Serve: func(c *Conn, response string) {
 		if r, err := c.Request(); err == nil {
 			c.Send(response)
 			_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
@@ -39,13 +41,13 @@
 			c.Reset()
 		}
 	}},
-	{"closed with unread data", false, func(c *Conn, response string) {
+	{Name: "closed with unread data", Serve: func(c *Conn, response string) {
 		if _, err := c.Request(); err == nil {
 			c.Send(response)
 			time.Sleep(Pause)
 		}
 	}},
-	{"reset after the upload is read", false, func(c *Conn, response string) {
+	{Name: "reset after the upload is read", Serve: func(c *Conn, response string) {
 		if r, err := c.Request(); err == nil {
 			_, _ = io.Copy(io.Discard, r.Body)
 			c.Send(response)
@@ -53,14 +55,14 @@
 			c.Reset()
 		}
 	}},
-	{"clean before the upload is read", true, func(c *Conn, response string) {
+	{Name: "clean before the upload is read", Clean: true, Serve: func(c *Conn, response string) {
 		if _, err := c.Request(); err == nil {
 			c.Send(response)
 			c.CloseWrite()
 			c.Drain()
 		}
 	}},
-	{"clean while the upload is read", true, func(c *Conn, response string) {
+	{Name: "clean while the upload is read", Clean: true, Serve: func(c *Conn, response string) {
 		if r, err := c.Request(); err == nil {
 			_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
 			c.Send(response)
@@ -69,7 +71,7 @@
 			c.Drain()
 		}
 	}},
-	{"clean, then reset before the upload is read", true, func(c *Conn, response string) {
+	{Name: "clean, then reset before the upload is read", Clean: true, Serve: func(c *Conn, response string) {
 		if _, err := c.Request(); err == nil {
 			c.Send(response)
 			c.CloseWrite()
@@ -77,7 +79,7 @@
 			c.Reset()
 		}
 	}},
-	{"clean after the upload is read", true, func(c *Conn, response string) {
+	{Name: "clean after the upload is read", Clean: true, Serve: func(c *Conn, response string) {
 		if r, err := c.Request(); err == nil {
 			_, _ = io.Copy(io.Discard, r.Body)
 			c.Send(response)
