platform: a response of the store that breaks off promises nothing

Callers of the store's client saw: a write that counts as done (200), as refused by its condition (412) or as not done (503) after the store's response broke off during the upload. The last two are promises that a broken response does not make.

What keeps net/http from closing a connection under a response after a failed write moves from the engine's client to http1.DialContext, which both use.

Evidence: TestWriteWithAResponseThatBreaksOff (platform), with resets before, while and after the upload and clean ends at the same times, for the three statuses. The value of the test is larger than what the socket buffers take; on loopback 2 MiB showed no failure before.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -58,29 +58,6 @@
 	mu     sync.Mutex
 	writes int64
 	sealed bool
-
-	// ended is closed when the reader has met the end of the connection, or it was closed.
-	ended    chan struct{}
-	endsOnce sync.Once
-}
-
-func newCountingConn(conn net.Conn) *countingConn {
-	return &countingConn{Conn: conn, ended: make(chan struct{})}
-}
-
-func (c *countingConn) end() { c.endsOnce.Do(func() { close(c.ended) }) }
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.end()
-	}
-	return n, err
-}
-
-func (c *countingConn) Close() error {
-	c.end()
-	return c.Conn.Close()
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
@@ -93,13 +70,7 @@
 	// A count that is too high only prevents a retry.
 	c.writes++
 	c.mu.Unlock()
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		// net/http closes the connection when a write fails, and with it a response that a
-		// target sent before it refused the rest of the request.
-		<-c.ended
-	}
-	return n, err
+	return c.Conn.Write(p)
 }
 
 func (c *countingConn) count() int64 {
@@ -134,13 +105,14 @@
 }
 
 func newTransport(dialer *net.Dialer) *Transport {
+	dial := http1.DialContext(dialer.DialContext)
 	base := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return newCountingConn(http1.NewConn(conn)), nil
+			return &countingConn{Conn: conn}, nil
 		},
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,7 +4,6 @@
 package http1
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,17 +31,6 @@
 // NewConn returns a Conn over an established connection.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
-// DialContext returns a function that opens a Conn with dial, for http.Transport.
-func DialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(conn), nil
-	}
-}
-
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
