storage: a refusal of the table service that breaks off promises nothing

Operators saw: ErrUnavailable, which states that nothing was written, after a response with status 400 whose body broke off.

Cause: writeError took any 4xx status as proof, also when the SDK could not read the response.

Change: a response that the SDK cannot read leaves the outcome unknown.

Evidence: TestWriteWithAResponseThatBreaksOff (storage). Status 200 was handled already. Not mended: the SDK ends an upload when the response begins, and may lose a sound response that comes before the whole upload was read ("use of closed network connection"); the outcome is then unknown, which is true. TestListOverTLS covers the dialer with TLS.

--- a/storage/dynamodb.go
+++ b/storage/dynamodb.go
@@ -13,6 +13,7 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
 )
 
 // Attribute names of the table.
@@ -58,7 +59,7 @@
 		Region:       settings.Region,
 		Credentials:  settings.credentials(),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   newHTTPClient(),
+		HTTPClient:   newHTTPClient(nil),
 	})
 	return &DynamoDB{client: client, table: table}
 }
@@ -181,7 +182,7 @@
 	return fmt.Errorf("%w: %s: %w", ErrUnavailable, op, err)
 }
 
-// writeError maps an SDK error of a write. Only a missing connection or a 4xx response
+// writeError maps an SDK error of a write. Only a missing connection or a whole 4xx response
 // proves that nothing was written. Status 408 does not prove it, because proxies send
 // it while the request may still be in progress.
 func writeError(op string, err error, sent bool) error {
@@ -190,7 +191,8 @@
 		return fmt.Errorf("%w: %s", ErrConflict, op)
 	}
 	var response interface{ HTTPStatusCode() int }
-	if errors.As(err, &response) {
+	var unreadable *smithy.DeserializationError
+	if errors.As(err, &response) && !errors.As(err, &unreadable) {
 		status := response.HTTPStatusCode()
 		if status >= 400 && status < 500 && status != http.StatusRequestTimeout {
 			return fmt.Errorf("%w: %s: %w", ErrUnavailable, op, err)
--- a/storage/http.go
+++ b/storage/http.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/basilloom/basilloom/internal/http1"
 )
 
 const (
@@ -19,13 +22,15 @@
 )
 
 // newHTTPClient returns a client that uses no proxy and follows no redirects, because
-// a write must reach only the configured endpoint.
-func newHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// a write must reach only the configured endpoint. The configuration of TLS may be nil.
+func newHTTPClient(config *tls.Config) *http.Client {
+	plain := net.Dialer{Timeout: dialTimeout}
+	// The timeout covers the handshake as well.
+	secure := tls.Dialer{NetDialer: &net.Dialer{Timeout: 2 * dialTimeout}, Config: config}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			TLSHandshakeTimeout: dialTimeout,
+			DialContext:         http1.DialContext(plain.DialContext),
+			DialTLSContext:      http1.DialContext(secure.DialContext),
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		},
@@ -41,7 +46,7 @@
 
 // NewHTTPInstanceList returns an instance list that is read from url.
 func NewHTTPInstanceList(url string) *HTTPInstanceList {
-	return &HTTPInstanceList{url: url, client: newHTTPClient()}
+	return &HTTPInstanceList{url: url, client: newHTTPClient(nil)}
 }
 
 // List returns the records or ErrUnavailable. The caller's context sets the deadline.
