http1: a response whose status is none makes no answer

Callers of basilloomd serve saw: a response of a plain service with status 600 as an answer; a connection that was closed without an answer after status 000, on which the handler panicked; after an unrequested 101 a call that did not end, as net/http ties no deadline to its body. Callers of the platform's gateway saw: status 600 as an answer, and after status 000, which counted as an interim response, a wait until the deadline (504), or the next bytes as the answer. The store's client took status 000 for a refusal, that is for a promise that nothing was written.

Cause: net/http accepts any three characters that convert to a number that is not negative ("000", "+20", "-00"), any version HTTP/x.y and any reason. Nothing checked the status after it.

Change: package http1 follows the bytes of each connection below net/http. It frames the responses like net/http, and a status line that is not one of HTTP/1 (RFC 9112, section 4), of an unknown class (RFC 9110, section 15) or an unrequested 101 ends the connection for its reader, before net/http can see a whole head. All readers use these connections already. The check applies to each response on a connection, so also to interim and discarded ones. The method of a request is passed on, because a response to HEAD has no body.

Evidence: TestResponseWithABrokenStatus and its like in forward, engine, platform, internal/instance and internal/embedded. Without the check these cases fail: 28 of 44 in forward, 13 of 22 in engine and 11 of 22 in platform (not counted: the 101, which hung the tests of both until their timeout of 10 minutes), 11 of 15 in internal/instance, and 5 of 5 in internal/embedded. With it all pass with the race detector. Handled before, tests kept: status codes of two or four characters or letters, negative ones, other protocol names. Sound responses beside them (TestSoundResponses and others): interim responses, all reasons, repeated lengths, chunks, trailers, all characters of a token, HEAD, 204 and 304; they passed before as well.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -54,7 +54,7 @@
 
 // countingConn counts the writes that were handed to the kernel.
 type countingConn struct {
-	net.Conn
+	*http1.TransportConn
 	mu     sync.Mutex
 	writes int64
 	sealed bool
@@ -70,7 +70,7 @@
 	// A count that is too high only prevents a retry.
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return c.TransportConn.Write(p)
 }
 
 func (c *countingConn) count() int64 {
@@ -105,14 +105,13 @@
 }
 
 func newTransport(dialer *net.Dialer) *Transport {
-	dial := http1.DialContext(dialer.DialContext)
 	base := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{TransportConn: http1.NewTransportConn(conn)}, nil
 		},
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
@@ -129,7 +128,7 @@
 // a *DispatchError.
 func (t *Transport) RoundTrip(req *http.Request, body []byte) (*http.Response, error) {
 	var probe writeProbe
-	ctx := httptrace.WithClientTrace(req.Context(), probe.trace())
+	ctx := httptrace.WithClientTrace(req.Context(), probe.trace(req.Method))
 	req = req.WithContext(ctx)
 	setSingleUseBody(req, body)
 	resp, err := t.base.RoundTrip(req)
@@ -145,7 +144,7 @@
 	before int64
 }
 
-func (p *writeProbe) trace() *httptrace.ClientTrace {
+func (p *writeProbe) trace(method string) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, ok := info.Conn.(*countingConn)
 		if !ok {
@@ -153,6 +152,7 @@
 		}
 		p.conn = conn
 		p.before = conn.count()
+		conn.Expect(method)
 	}}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -114,6 +114,7 @@
 
 // exchange writes the request and reads the header of its response.
 func (c *conn) exchange(request *Request) (*Response, error) {
+	c.Expect(request.Method)
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.URI, request.Host)
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -194,7 +194,7 @@
 // isClean reports whether the connection is open and has no unread data. Bytes that
 // arrived after the last response belong to no request.
 func (c *conn) isClean() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.Broken() {
 		return false
 	}
 	tcp, ok := c.NetConn().(*net.TCPConn)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -18,6 +19,7 @@
 // connection cleanly. One goroutine reads and one writes, as with net/http.
 type Conn struct {
 	net.Conn
+	responses checker
 
 	// readErr is the error of the first failed read. The kernel returns the error of a
 	// connection only once; the next read would look like a clean end.
@@ -43,12 +45,26 @@
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
+	n, malformed := c.responses.check(p[:n])
+	if malformed != nil {
+		err = malformed
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
-	return n, err
+	if n > 0 {
+		return n, nil // the next read returns the error
+	}
+	return 0, err
 }
 
+// Expect sets the method of the request that is written next. It is needed for HEAD only.
+func (c *Conn) Expect(method string) { c.responses.headRequest.Store(method == http.MethodHead) }
+
+// Broken reports whether a read has failed, so that the connection cannot be used again. It must not be
+// called during a read.
+func (c *Conn) Broken() bool { return c.readErr != nil }
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -17,24 +17,29 @@
 		if err != nil {
 			return nil, err
 		}
-		return &transportConn{Conn: NewConn(conn), ended: make(chan struct{})}, nil
+		return NewTransportConn(conn), nil
 	}
 }
 
-// transportConn is a Conn for http.Transport, which closes a connection when a write fails and
+// TransportConn is a Conn for http.Transport, which closes a connection when a write fails and
 // so loses a response that the server sent before it refused the rest of the request. A failed
 // write returns when the reader has met the end of the connection, or it was closed. The reader
 // does not wait for a broken connection: it reads what has arrived and then the end.
-type transportConn struct {
+type TransportConn struct {
 	*Conn
 	ended chan struct{}
 	once  sync.Once
 }
 
-func (c *transportConn) end() { c.once.Do(func() { close(c.ended) }) }
+// NewTransportConn returns a TransportConn over an established connection.
+func NewTransportConn(conn net.Conn) *TransportConn {
+	return &TransportConn{Conn: NewConn(conn), ended: make(chan struct{})}
+}
+
+func (c *TransportConn) end() { c.once.Do(func() { close(c.ended) }) }
 
 // Read implements net.Conn.
-func (c *transportConn) Read(p []byte) (int, error) {
+func (c *TransportConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
 		c.end()
@@ -43,7 +48,7 @@
 }
 
 // Write implements net.Conn.
-func (c *transportConn) Write(p []byte) (int, error) {
+func (c *TransportConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		<-c.ended
@@ -52,7 +57,7 @@
 }
 
 // Close implements net.Conn.
-func (c *transportConn) Close() error {
+func (c *TransportConn) Close() error {
 	c.end()
 	return c.Conn.Close()
 }
