gateway: a rejection that breaks off does not promise that the request did not run

Callers saw: 503 with Retry-After, which promises that the request did not run and will not, after a worker's rejection that broke off: reset, cut short, or without an end.

Cause: the gateway took the statement from the header and read the body beside the next attempt, without a look at how it ended.

Change: the body of a rejection is read to its end before the statement counts, for at most 200 ms, because the next attempt waits for it. A rejection that is not whole by then is a failed attempt: the request may have run.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -260,8 +260,8 @@
 		a.req.possiblyRan = true
 		o = a.failed("response does not identify its request")
 	case info.WrongTarget || info.NotRun && response.StatusCode != http.StatusBadRequest:
-		closeBody = func() { go discardBody(response.Body) }
-		o, result = a.notRun(response)
+		closeBody = func() {} // by rejected
+		o, result = a.rejected(ctx, response)
 	case success && !info.Signed:
 		a.req.possiblyRan = true
 		o = a.failed("response has no signature")
@@ -378,20 +378,41 @@
 	}
 }
 
-// notRun ends an attempt that the target reports as not run.
-func (a *attempt) notRun(response *forward.Response) (outcome, pb.Result) {
+// rejectionTimeout bounds the wait for the end of a rejection, which delays the next attempt.
+// The body of a rejection is short and arrives with its header.
+const rejectionTimeout = 200 * time.Millisecond
+
+// rejected ends an attempt whose target states that it did not run the request. A response
+// that breaks off states nothing.
+func (a *attempt) rejected(ctx context.Context, response *forward.Response) (outcome, pb.Result) {
+	ended := make(chan error, 1)
+	go func() { ended <- discardBody(response.Body) }()
+	var err error
+	select {
+	case err = <-ended:
+	case <-time.After(rejectionTimeout):
+		err = errLongRejection
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		a.req.possiblyRan = true
+		return a.bodyFailed(ctx, err)
+	}
 	a.markTried()
 	return outcome{refusal: a.req.notSent("the target did not run the request"), reason: "not run: " + response.Status}, pb.Result_RESULT_NOT_DISPATCHED
 }
 
-// maxDiscardedBody is the largest unused body that is read to keep the connection reusable.
-const maxDiscardedBody = 64 << 10
+var errLongRejection = errors.New("the body of a rejection does not end")
 
-// discardBody reads the rest of a body and closes it. It runs beside the request, because a
-// target may send bytes without end.
-func discardBody(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBody)) // the connection is closed if this fails
-	_ = body.Close()
+// discardBody reads a body to its end and closes it. It reports whether the response is whole.
+func discardBody(body io.ReadCloser) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxPlainResponse+1))
+	if n > maxPlainResponse {
+		err = errLongRejection
+	}
+	_ = body.Close() // the connection cannot be used again if the body has not ended
+	return err
 }
 
 // relayPlain reads a whole response and passes it on.
--- a/internal/instance/broken_responses_test.go
+++ b/internal/instance/broken_responses_test.go
@@ -154,3 +154,51 @@
 		})
 	}
 }
+
+// Guards against a promise that the request did not run after a rejection that breaks off.
+func TestRejectionThatBreaksOff(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + rawID + "\r\nNot-Executed: full\r\n"
+	upload := strings.Repeat("x", 64<<10) // more than the worker reads with the head
+	type rejection struct {
+		name  string
+		whole bool
+		serve func(*rawserver.Conn)
+	}
+	rejections := []rejection{
+		{"length", true, serveText(head + "Content-Length: 4\r\n\r\nfull")},
+		{"chunks", true, serveText(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n")},
+		{"cut body", false, func(c *rawserver.Conn) {
+			if _, err := c.Request(); err == nil {
+				c.Send(head + "Content-Length: 40\r\n\r\nfull")
+			}
+		}},
+		{"cut chunks", false, func(c *rawserver.Conn) {
+			if _, err := c.Request(); err == nil {
+				c.Send(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n")
+			}
+		}},
+		{"no end", false, serveText(head + "Content-Length: 40\r\n\r\nfull")},
+	}
+	for _, ending := range rawserver.Endings {
+		if !ending.BeforeRequest {
+			rejections = append(rejections, rejection{ending.Name, ending.Clean, func(c *rawserver.Conn) { ending.Serve(c, head+"\r\nfull") }})
+		}
+	}
+	for _, r := range rejections {
+		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.maxBodyBytes = len(upload)
+			env.rawWorker("w-a", r.serve)
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			got := n.callRaw(t, "/unsafe/1", upload)
+			if !r.whole {
+				requireMayHaveRun(t, got)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		})
+	}
+}
