http1: a response with a field line that is not of the protocol makes no answer

Callers saw: a response with a blank in the name of a field as an answer. Depending on the line, the body was not the target's: with "Content-Length : 2" or "Transfer-Encoding : chunked" it ran to the end of the connection, with the bytes of the chunked coding in it. A line that begins with a blank became part of the value of the line before it.

Cause: net/http keeps a name with blanks as it is and joins lines that begin with a blank, in headers, interim responses and trailers.

Change: package http1 refuses a field line whose name is not a token (RFC 9110, section 5.1), that has no colon, or whose value has a control byte. Folded lines are refused as well, which RFC 9112, section 5.2, allows a gateway.

Evidence: TestResponseWithABrokenField and its like. Handled before, tests kept: control bytes, tabs and separators in a name, a blank after the name in the first line of a header, an empty name, a line without a colon, control bytes in a value.

--- a/engine/heads_test.go
+++ b/engine/heads_test.go
@@ -58,6 +58,9 @@
 // Guards against a response with a status that is none.
 func TestResponseWithABrokenStatus(t *testing.T) { requireNoResponses(t, rawserver.BrokenStatuses) }
 
+// Guards against a response with a field line that is not one of the protocol.
+func TestResponseWithABrokenField(t *testing.T) { requireNoResponses(t, rawserver.BrokenFields) }
+
 // Guards against a sound response that is refused, also on a connection that is used again.
 func TestSoundResponses(t *testing.T) {
 	for _, sound := range rawserver.Sound {
--- a/forward/heads_test.go
+++ b/forward/heads_test.go
@@ -138,3 +138,17 @@
 	}
 	require.EqualValues(t, 3, p.Stats().Opened)
 }
+
+// Guards against a response with a field line that is not one of the protocol.
+func TestResponseWithABrokenField(t *testing.T) {
+	for _, broken := range rawserver.BrokenFields {
+		t.Run(broken.Name, func(t *testing.T) {
+			t.Parallel()
+			requireNoResponse(t, broken.With(ownFields))
+		})
+		t.Run(broken.Name+", discarded response", func(t *testing.T) {
+			t.Parallel()
+			requireNoResponse(t, broken.With("Request-Id: other\r\n")+rawserver.Sound[0].With(ownFields))
+		})
+	}
+}
--- a/internal/embedded/broken_responses_test.go
+++ b/internal/embedded/broken_responses_test.go
@@ -130,6 +130,13 @@
 		"status 000", "status 000 without a length", "status 000 before a response", "status 600", "switch of protocols")
 }
 
+// Guards against a response with a broken field line.
+func TestServiceResponseWithABrokenField(t *testing.T) {
+	requireNoResponses(t, rawserver.BrokenFields,
+		"blank in a name", "control byte in a name", "blank before a name", "length with a blank after its name",
+		"transfer coding with a blank after its name", "blank in a name, interim response", "blank in a name, trailer")
+}
+
 // Guards against a sound response that is refused.
 func TestSoundServiceResponses(t *testing.T) {
 	var serve []func(*rawserver.Conn)
--- a/internal/http1/checker.go
+++ b/internal/http1/checker.go
@@ -174,10 +174,21 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// takeField takes a field line of a header or trailer.
+// takeField checks a field line of a header or trailer. A line that begins with a blank, which
+// continues the value before it in obsolete messages, is an error: a gateway may discard such a
+// response (RFC 9112, section 5.2).
 func (c *checker) takeField(line []byte) error {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return errors.New("no colon")
+	}
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.New("field name is not a token")
+	}
 	value = bytes.Trim(value, " \t")
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.New("control character in a field value")
+	}
 	isLength, isCoding := bytes.EqualFold(name, []byte("Content-Length")), bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	switch {
 	case c.part == partTrailer:
--- a/internal/instance/broken_responses_test.go
+++ b/internal/instance/broken_responses_test.go
@@ -136,6 +136,14 @@
 		"status 000", "status 000 without a length", "status 000 before a response", "status 600", "switch of protocols")
 }
 
+// Guards against a response with a broken field line, which reaches the caller with that line
+// or with a body that is not the worker's.
+func TestResponseWithABrokenField(t *testing.T) {
+	requireNoResponses(t, rawserver.BrokenFields,
+		"blank in a name", "control byte in a name", "blank before a name", "length with a blank after its name",
+		"transfer coding with a blank after its name", "blank in a name, interim response", "blank in a name, trailer")
+}
+
 // Guards against a sound response that is refused.
 func TestSoundResponses(t *testing.T) {
 	for _, sound := range rawserver.Sound {
@@ -177,6 +185,7 @@
 				c.Send(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n")
 			}
 		}},
+		{"broken trailer", false, serveText(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\nBad Name: x\r\n\r\n")},
 		{"no end", false, serveText(head + "Content-Length: 40\r\n\r\nfull")},
 	}
 	for _, ending := range rawserver.Endings {
--- a/internal/standin/rawserver/heads.go
+++ b/internal/standin/rawserver/heads.go
@@ -40,6 +40,45 @@
 	{"empty line before the status", "\r\nHTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5\r\n\r\nwhole"},
 }
 
+// BrokenFields are responses with a field line that is not one of the protocol.
+var BrokenFields = brokenFields()
+
+func brokenFields() []Text {
+	lines := []Text{
+		{"blank in a name", "Bad Name: x"},
+		{"blank after a name", "Bad-Name : x"},
+		{"tab in a name", "Bad\tName: x"},
+		{"tab after a name", "Bad-Name\t: x"},
+		{"blank before a name", " Bad-Name: x"},
+		{"tab before a name", "\tBad-Name: x"},
+		{"control byte in a name", "Bad\x01Name: x"},
+		{"zero byte in a name", "Bad\x00Name: x"},
+		{"delete in a name", "Bad\x7fName: x"},
+		{"carriage return in a name", "Bad\rName: x"},
+		{"byte above 127 in a name", "Bad\xe9Name: x"},
+		{"separator in a name", "Bad(Name): x"},
+		{"empty name", ": x"},
+		{"no colon", "Bad-Name"},
+		{"control byte in a value", "Bad: x\x01y"},
+		{"carriage return in a value", "Bad: x\ry"},
+		{"length with a blank after its name", "Content-Length : 2"},
+		{"transfer coding with a blank after its name", "Transfer-Encoding : chunked"},
+		{"folded transfer coding", "Bad: x\r\n Transfer-Encoding: chunked"},
+	}
+	var all []Text
+	for _, line := range lines {
+		all = append(all,
+			Text{line.Name, "HTTP/1.1 200 OK\r\n" + fieldsMark + line.text + "\r\nContent-Length: 5\r\n\r\nwhole"},
+			Text{line.Name + ", first line", "HTTP/1.1 200 OK\r\n" + line.text + "\r\n" + fieldsMark + "Content-Length: 5\r\n\r\nwhole"},
+			Text{line.Name + ", last line", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5\r\n" + line.text + "\r\n\r\nwhole"},
+			Text{line.Name + ", without a length", "HTTP/1.1 200 OK\r\n" + fieldsMark + line.text + "\r\n\r\nwhole"},
+			Text{line.Name + ", interim response", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + line.text + "\r\n\r\n" + sound},
+			Text{line.Name + ", trailer", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nGood: x\r\n" + line.text + "\r\n\r\n"},
+		)
+	}
+	return all
+}
+
 // SoundBody is the body of the responses in Sound.
 const SoundBody = "whole"
 
