http1: a response with broken framing makes no answer

Callers saw: a body that is not the target's, after a response of HTTP/1.0 with a transfer coding (the chunked bytes themselves), and responses as answers that have both a length and a transfer coding, a body that their status does not allow, or a length in the trailer.

Cause: net/http drops a transfer coding of HTTP/1.0 and a length beside a transfer coding, ignores both for a status without a body, in interim responses too, and takes any field in a trailer.

Change: package http1 refuses these (RFC 9112, sections 6.1 and 6.3; RFC 9110, sections 6.5.1 and 8.6). A length of 0 with status 204 is common and does no harm; it stays allowed, like a repeated equal length.

Evidence: TestResponseWithBrokenFraming and its like. Handled before, tests kept: lengths that are not numbers, out of range, lists or different, transfer codings other than one "chunked", broken chunks.

--- a/engine/heads_test.go
+++ b/engine/heads_test.go
@@ -61,6 +61,9 @@
 // Guards against a response with a field line that is not one of the protocol.
 func TestResponseWithABrokenField(t *testing.T) { requireNoResponses(t, rawserver.BrokenFields) }
 
+// Guards against a response whose end is not where its target puts it.
+func TestResponseWithBrokenFraming(t *testing.T) { requireNoResponses(t, rawserver.BrokenFraming) }
+
 // Guards against a sound response that is refused, also on a connection that is used again.
 func TestSoundResponses(t *testing.T) {
 	for _, sound := range rawserver.Sound {
--- a/forward/heads_test.go
+++ b/forward/heads_test.go
@@ -152,3 +152,17 @@
 		})
 	}
 }
+
+// Guards against a response whose end is not where its target puts it.
+func TestResponseWithBrokenFraming(t *testing.T) {
+	for _, broken := range rawserver.BrokenFraming {
+		t.Run(broken.Name, func(t *testing.T) {
+			t.Parallel()
+			requireNoResponse(t, broken.With(ownFields))
+		})
+		t.Run(broken.Name+", discarded response", func(t *testing.T) {
+			t.Parallel()
+			requireNoResponse(t, broken.With("Request-Id: other\r\n")+rawserver.Sound[0].With(ownFields))
+		})
+	}
+}
--- a/internal/http1/checker.go
+++ b/internal/http1/checker.go
@@ -191,7 +191,8 @@
 	}
 	isLength, isCoding := bytes.EqualFold(name, []byte("Content-Length")), bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	switch {
-	case c.part == partTrailer:
+	case c.part == partTrailer && (isLength || isCoding):
+		return errors.New("framing in a trailer")
 	case isLength:
 		return c.head.takeLength(value)
 	case isCoding:
@@ -231,12 +232,16 @@
 	h := c.head
 	noBody := h.status < 200 || h.status == http.StatusNoContent
 	switch {
-	case noBody || h.status == http.StatusNotModified || c.headRequest.Load():
+	case h.chunked && h.http10:
+		return errors.New("transfer coding in HTTP/1.0")
+	case h.chunked && h.length >= 0:
+		return errors.New("both a length and a transfer coding")
+	case noBody && (h.chunked || h.length > 0):
+		return errors.New("body of a status without one")
+	case noBody || h.status == http.StatusNotModified || c.headRequest.Load() || h.length == 0:
 		c.part = partStatus
-	case h.chunked && !h.http10:
+	case h.chunked:
 		c.part = partChunkSize
-	case h.length == 0:
-		c.part = partStatus
 	case h.length > 0:
 		c.part, c.left = partBody, h.length
 	default:
--- a/internal/instance/broken_responses_test.go
+++ b/internal/instance/broken_responses_test.go
@@ -144,6 +144,12 @@
 		"transfer coding with a blank after its name", "blank in a name, interim response", "blank in a name, trailer")
 }
 
+// Guards against a response whose end is not where the worker puts it.
+func TestResponseWithBrokenFraming(t *testing.T) {
+	requireNoResponses(t, rawserver.BrokenFraming,
+		"length and transfer coding", "transfer coding in HTTP/1.0", "transfer coding, interim response", "length, trailer")
+}
+
 // Guards against a sound response that is refused.
 func TestSoundResponses(t *testing.T) {
 	for _, sound := range rawserver.Sound {
--- a/internal/standin/rawserver/heads.go
+++ b/internal/standin/rawserver/heads.go
@@ -79,6 +79,39 @@
 	return all
 }
 
+// BrokenFraming are responses whose length or transfer coding is not one of the protocol.
+var BrokenFraming = []Text{
+	{"length of letters", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: five\r\n\r\nwhole"},
+	{"length with a sign", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: +5\r\n\r\nwhole"},
+	{"negative length", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: -5\r\n\r\nwhole"},
+	{"hexadecimal length", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 0x5\r\n\r\nwhole"},
+	{"empty length", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: \r\n\r\nwhole"},
+	{"length out of range", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 18446744073709551621\r\n\r\nwhole"},
+	{"list of lengths", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5, 6\r\n\r\nwhole"},
+	{"different lengths", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nwhole"},
+	{"length and transfer coding", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+	{"transfer coding and length", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+	{"unknown transfer coding", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: cow\r\n\r\nwhole"},
+	{"empty transfer coding", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: \r\n\r\nwhole"},
+	{"identity transfer coding", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: identity\r\n\r\nwhole"},
+	{"two transfer codings", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+	{"chunked twice", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+	{"transfer coding in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+	{"transfer coding and length in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\nwhole"},
+	{"transfer coding of a status without a body", "HTTP/1.1 204 No Content\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+	{"length of a status without a body", "HTTP/1.1 204 No Content\r\n" + fieldsMark + "Content-Length: 5\r\n\r\nwhole"},
+	{"length of letters, interim response", "HTTP/1.1 103 Early Hints\r\nContent-Length: x\r\n\r\n" + sound},
+	{"length, interim response", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + sound},
+	{"transfer coding, interim response", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + sound},
+	{"unknown transfer coding, interim response", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: cow\r\n\r\n" + sound},
+	{"length, trailer", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nContent-Length: 5\r\n\r\n"},
+	{"transfer coding, trailer", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	{"chunk size of letters", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\nx\r\nwhole\r\n0\r\n\r\n"},
+	{"chunk size with a sign", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n+5\r\nwhole\r\n0\r\n\r\n"},
+	{"chunk longer than its size", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n3\r\nwhole\r\n0\r\n\r\n"},
+	{"no last chunk", "HTTP/1.1 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n\r\n"},
+}
+
 // SoundBody is the body of the responses in Sound.
 const SoundBody = "whole"
 
