http1: an error names the part of the response that is malformed

Operators saw: "header" in the log for a broken status line.

Cause: the part was read after the line had begun the next one.

--- a/internal/http1/checker.go
+++ b/internal/http1/checker.go
@@ -121,9 +121,9 @@
 
 // takeLine checks a line without its end and begins the part that follows it.
 func (c *checker) takeLine(line []byte) error {
-	err := c.checkLine(line)
-	if err != nil {
-		return &MalformedError{Part: partNames[c.part], Line: string(line[:min(len(line), maxQuoted)]), Cause: err.Error()}
+	at := c.part
+	if err := c.checkLine(line); err != nil {
+		return &MalformedError{Part: partNames[at], Line: string(line[:min(len(line), maxQuoted)]), Cause: err.Error()}
 	}
 	return nil
 }
--- a/internal/http1/checker_test.go
+++ b/internal/http1/checker_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// Guards against an error that names another part of the response than the broken one.
+func TestErrorNamesTheBrokenPart(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	for text, want := range map[string]http1.MalformedError{
+		"HTTP/1.1 000 Trouble\r\n\r\n":     {Part: "status line", Line: "HTTP/1.1 000 Trouble", Cause: "unknown class of status"},
+		head + "Bad Name: x\r\n\r\n":       {Part: "header", Line: "Bad Name: x", Cause: "field name is not a token"},
+		head + "Content-Length: 1\r\n\r\n": {Part: "header", Line: "", Cause: "both a length and a transfer coding"},
+		head + "\r\nx\r\n":                 {Part: "chunk size", Line: "x", Cause: "chunk size is not a number"},
+	} {
+		_, err := readResponse(strings.NewReader(text))
+		var malformed *http1.MalformedError
+		require.ErrorAs(t, err, &malformed, text)
+		require.Equal(t, want, *malformed)
+	}
+}
+
 // Guards against a line without end that is kept in memory.
 func TestLongLine(t *testing.T) {
 	for name, divide := range pieces {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -61,8 +61,8 @@
 // Expect sets the method of the request that is written next. It is needed for HEAD only.
 func (c *Conn) Expect(method string) { c.responses.headRequest.Store(method == http.MethodHead) }
 
-// Broken reports whether a read has failed, so that the connection cannot be used again. It must not be
-// called during a read.
+// Broken reports whether a read has failed, so that the connection cannot be used again. It
+// must not be called during a read.
 func (c *Conn) Broken() bool { return c.readErr != nil }
 
 // Write implements net.Conn.
