drain, gateway, entry: an incomplete response to HTTP/1.0 ends with a reset

Callers of HTTP/1.0 saw: a stream, or a long response of a plain service, that a target broke off, as a complete one.

The handler ended with http.ErrAbortHandler, on which net/http closes the connection cleanly. In HTTP/1.1 the length or the last chunk is then missing; in HTTP/1.0 the end of the connection is the end of the response.

Change: gateway and entry end such a handler with drain.Abort, which makes the connection of an HTTP/1.0 caller end with a reset. HTTP/1.1 is unchanged, as a reset may discard events that were sent.

Whole responses beside them end cleanly.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 		return
 	}
 	e.retries.deposit()
-	out := &responder{w: w, req: req}
+	out := &responder{w: w, r: r, req: req}
 	reqErr = e.serve(r.Context(), out, req)
 	e.settings.Metrics.countEnded(r.Context(), req, out, reqErr)
 	e.log(req, reqErr)
--- a/entry/responder.go
+++ b/entry/responder.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/basilloom/basilloom/engine"
+	"github.com/basilloom/basilloom/internal/drain"
 )
 
 // responder writes one response to the caller. It breaks the connection if a started
 // response cannot be completed, so that the caller does not take it for complete.
 type responder struct {
 	w             http.ResponseWriter
+	r             *http.Request
 	req           *request
 	headerWritten bool
 	// firstToken is the time from the arrival to the first token or to the response.
@@ -105,7 +107,7 @@
 		_, _ = o.w.Write(o.buffer)
 		_ = http.NewResponseController(o.w).Flush()
 	}
-	panic(http.ErrAbortHandler)
+	drain.Abort(o.r)
 }
 
 func jsonHeader() http.Header {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,6 @@
 	g.recordEnd(req, out, failed)
 	if failed != nil && out.started && !out.complete {
 		// An incomplete response must not look complete to the caller.
-		panic(http.ErrAbortHandler)
+		drain.Abort(r)
 	}
 }
--- a/internal/drain/limits.go
+++ b/internal/drain/limits.go
@@ -277,7 +277,7 @@
 
 type connKey struct{}
 
-// Context is the server's ConnContext hook. Trust needs it.
+// Context is the server's ConnContext hook. Trust, Abort and BeginWork need it.
 func (c *Conns) Context(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
@@ -291,6 +291,18 @@
 	}
 }
 
+// Abort ends the handler of a request whose response is not complete, and its connection.
+// Callers of HTTP/1.0 may take the clean end of a connection for the end of the response, so
+// theirs is reset.
+func Abort(r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*trackedConn); ok && !r.ProtoAtLeast(1, 1) {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // BeginWork marks the connection of a request's context as one with a request in work, which is
 // not closed at a limit. A handler calls it when it has read the body. It returns false if the
 // connection is closed already; the request must not run then.
--- a/internal/embedded/broken_responses_test.go
+++ b/internal/embedded/broken_responses_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -147,3 +149,34 @@
 		})
 	}
 }
+
+// Guards against a long response that breaks off and looks whole to a caller of HTTP/1.0, for
+// which the end of the connection is the end of the response.
+func TestBrokenServiceResponseToACallerOfHTTP10(t *testing.T) {
+	const length = 1 << 20
+	body := strings.Repeat("x", length)
+	reply := func(sent string) func(*rawserver.Conn) {
+		return func(c *rawserver.Conn) {
+			if r, err := c.Request(); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				c.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, sent))
+			}
+		}
+	}
+	fleet := startServices(t, []func(*rawserver.Conn){reply(body), reply(body[:length/2])})
+	for n, whole := range []bool{true, false} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(fleet.Callers()[0], "http://"))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = fmt.Fprintf(conn, "POST /service-%d HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer token\r\nContent-Length: 1\r\n\r\nx", n)
+		require.NoError(t, err)
+		response, err := io.ReadAll(conn)
+		if !whole {
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+			continue
+		}
+		require.NoError(t, err)
+		require.True(t, strings.HasSuffix(string(response), body))
+	}
+}
--- a/internal/instance/broken_responses_test.go
+++ b/internal/instance/broken_responses_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -202,3 +206,34 @@
 		})
 	}
 }
+
+// Guards against a stream that breaks off and looks whole to a caller of HTTP/1.0, for which
+// the end of the connection is the end of the response.
+func TestBrokenStreamToACallerOfHTTP10(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour worker.Behaviour
+		whole     bool
+	}{{"whole", worker.Stream, true}, {"cut", worker.StreamCut, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.worker("w-a", worker.Always(c.behaviour))
+			env.configure(testRoutes(), []string{testKey}, 0)
+			n := env.start("i1")
+			conn, err := net.Dial("tcp", n.settings.Load().Callers)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = fmt.Fprintf(conn, "POST /stream/1 HTTP/1.0\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nAuthorization: Token %s\r\nContent-Length: 1\r\n\r\nx", testHost, rawID, testKey)
+			require.NoError(t, err)
+			response, err := io.ReadAll(conn)
+			if !c.whole {
+				require.ErrorIs(t, err, syscall.ECONNRESET, "%q", response)
+				return
+			}
+			require.NoError(t, err)
+			require.Contains(t, string(response), allEvents())
+		})
+	}
+}
