tests of broken responses: a name without a case fails the test

Cause: the tests of instances chose cases by name in two places, and the one of internal/instance passed over a name that no case has. All 16 names in use have their case, so no result changes.

Change: rawserver.Pick serves both and panics on an unknown name.

Evidence: the tests of broken statuses, fields and framing in internal/instance and all of internal/embedded pass with the race detector; the linter has no findings. No product file changes.

--- a/internal/embedded/broken_responses_test.go
+++ b/internal/embedded/broken_responses_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -96,12 +95,9 @@
 func requireNoResponses(t *testing.T, texts []rawserver.Text, names ...string) {
 	t.Helper()
 	var serve []func(*rawserver.Conn)
-	for _, broken := range texts {
-		if slices.Contains(names, broken.Name) {
-			serve = append(serve, rawserver.Reply(broken.With("")))
-		}
+	for _, broken := range rawserver.Pick(texts, names...) {
+		serve = append(serve, rawserver.Reply(broken.With("")))
 	}
-	require.Len(t, serve, len(names))
 	fleet := startServices(t, serve)
 	for n, name := range names {
 		t.Run(name, func(t *testing.T) {
--- a/internal/instance/broken_responses_test.go
+++ b/internal/instance/broken_responses_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -97,10 +96,7 @@
 func requireNoResponses(t *testing.T, texts []rawserver.Text, names ...string) {
 	t.Helper()
 	const fields = "Request-Id: " + rawID + "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
-	for _, broken := range texts {
-		if !slices.Contains(names, broken.Name) {
-			continue
-		}
+	for _, broken := range rawserver.Pick(texts, names...) {
 		served := broken.With(fields)
 		refused := strings.ReplaceAll(broken.With(fields+"Not-Executed: 1\r\n"), "200 OK", "503 Service Unavailable")
 		for name, c := range map[string]struct{ path, text string }{
--- a/internal/standin/rawserver/heads.go
+++ b/internal/standin/rawserver/heads.go
@@ -1,6 +1,9 @@
 package rawserver
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Text is a response, possibly after others.
 type Text struct{ Name, text string }
@@ -11,6 +14,19 @@
 // With returns the bytes of the response. Fields are the lines that the client requires in it.
 func (t Text) With(fields string) string { return strings.ReplaceAll(t.text, fieldsMark, fields) }
 
+// Pick returns the texts with the names. It panics if there is none with a name.
+func Pick(texts []Text, names ...string) []Text {
+	var picked []Text
+	for _, name := range names {
+		n := slices.IndexFunc(texts, func(t Text) bool { return t.Name == name })
+		if n < 0 {
+			panic("rawserver: no text " + name)
+		}
+		picked = append(picked, texts[n])
+	}
+	return picked
+}
+
 // sound is a whole response that follows a broken one.
 const sound = "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length: 5\r\n\r\nwhole"
 
