fleet: the store decides whose part of the quotas is free

Callers saw: eight of nine instances are lost, the last one is restarted 10 s later and refuses four of five requests with 429 for 25 s, although their workspace is far below its limit.

Cause: how long a peer had been silent was kept in memory only. A row in table instances said that an instance exists, never that it was silent, so each start gave every row another 25 s. A shorter time was no remedy: the 25 s let both sides of a longer partition spend the same quota. Ruled out: empty buckets (the share in the refusals is 0.11 until 25 s after the start) and a removal that failed (none is tried before).

Change: a silent instance's row is marked and, once its lease must have ended, released; both are conditional writes by the owner of the duty, which a successor continues. A lease is a reading of the own row, directly or through a peer with an equal copy, by the store's clock. An instance without one spends half of its part, and its peers leave it that half for two hours. docs/design/state-across-starts.md has the failures halfway.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,11 +50,11 @@
 	// reportTimeoutPeriods is the number of report periods after which a peer without a
 	// report loses its groups.
 	reportTimeoutPeriods = 3.5
-	// peerRetention is how long an unresponsive peer is assumed to be partitioned and
-	// still spending its share of the quotas.
-	peerRetention = 25 * time.Second
 	// failureBackoff is how long a peer cannot own groups after a reported failure.
 	failureBackoff = 2 * time.Second
+	// releasedReportInterval is the number of reports of which a peer whose row is released
+	// gets one. It learns from that one that a partition has ended.
+	releasedReportInterval = 8
 	// maxDatagram bounds a report, close to the largest IPv4 datagram without headers.
 	maxDatagram = 60 << 10
 	// completeReportInterval is the number of reports of which one holds the spending of all
@@ -86,6 +86,7 @@
 	Report  *pb.FleetReport
 	// avoidUntil is when the peer may own groups again after a reported failure.
 	avoidUntil time.Time
+	row        rowState
 }
 
 // Settings configures a Fleet.
@@ -104,10 +105,11 @@
 	FillReport func(*pb.FleetReport)
 	// OnReport is called with each new report.
 	OnReport func(*pb.FleetReport)
-	// OnRemoved is called with a peer that is removed because it sends no reports, and
-	// OnDiscovered with the sender of a first report. Both may be nil and must not call the
-	// Fleet.
-	OnRemoved, OnDiscovered func(*pb.FleetMember)
+	// Instances is the table of the instances' rows, one of Tables, and LatestStoreTime the
+	// latest time that the store's clock can show now, false if unknown. Without them the
+	// instance has no lease on its part of the limits.
+	Instances       *mirror.Table
+	LatestStoreTime func() (time.Duration, bool)
 	// Authorize adds the instances' key to the header of a call; may be nil.
 	Authorize func(http.Header)
 	Log       *zap.Logger
@@ -132,6 +134,10 @@
 	leaving                 bool
 	seeds                   []string
 	schedule                schedule
+	lease                   lease
+	// silentFrom is the earliest time from which the silence of peers counts, and
+	// rowsCheckedAt when DueRows was last called.
+	silentFrom, rowsCheckedAt time.Time
 	// toRelay holds the reports to pass on within the zone, by instance.
 	toRelay map[string]*pb.RelayedReport
 
@@ -315,7 +321,7 @@
 	defer f.mu.Unlock()
 	p, ok := f.peers[m.GetInstance()]
 	if !ok || m.GetIncarnation() > p.Incarnation {
-		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), DiscoveredAt: now}
+		p = &Peer{Name: m.GetInstance(), Incarnation: m.GetIncarnation(), DiscoveredAt: now, row: f.rowOfLocked(m.GetInstance())}
 		f.peers[m.GetInstance()] = p
 		f.completeUntil = now.Add(completeReportsPeriod)
 		f.settings.Log.Info("peer discovered", zap.String(field.Peer, p.Name), zap.Uint64(field.Incarnation, p.Incarnation))
@@ -326,14 +332,12 @@
 	if !p.LastReportAt.IsZero() && f.isUnresponsive(p, now) {
 		f.settings.Log.Info("peer sends reports again", zap.String(field.Peer, p.Name), zap.Duration(field.SinceLastReport, now.Sub(p.LastReportAt)))
 	}
-	moved, first := p.Zone != m.GetZone(), p.LastReportAt.IsZero()
+	moved := p.Zone != m.GetZone()
 	p.Address, p.Zone, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), m.GetZone(), now, m, m.GetLeaving()
 	if !ok || moved {
 		f.updateScheduleLocked()
 	}
-	if first && f.settings.OnDiscovered != nil {
-		f.settings.OnDiscovered(p.member())
-	}
+	f.confirmRows(m)
 	return true
 }
 
@@ -352,6 +356,7 @@
 		}
 		f.peers[m.GetInstance()] = &Peer{
 			Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Zone: m.GetZone(), DiscoveredAt: now,
+			row: f.rowOfLocked(m.GetInstance()),
 		}
 	}
 	f.updateScheduleLocked()
@@ -391,11 +396,18 @@
 	return &pb.FleetMember{Instance: p.Name, Incarnation: p.Incarnation, Address: p.Address, Zone: p.Zone}
 }
 
-// Size returns the number of known instances, including this one.
+// Size returns the number of known instances, including this one, without those whose row
+// is released.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.peers) + 1
+	n := 1
+	for _, p := range f.peers {
+		if !p.released() {
+			n++
+		}
+	}
+	return n
 }
 
 // LiveReports returns the last reports of the responsive peers.
@@ -421,33 +433,6 @@
 	return peers
 }
 
-// initialShare is the fraction of the fleet's limits that an instance uses before it
-// has discovered any peer.
-const initialShare = 0.1
-
-// Share returns the fraction of the fleet's limits that this instance and its reachable
-// peers may use together. A peer's part is excluded as soon as the peer can no longer
-// own groups, because both sides of a partition spend the whole limits until then.
-func (f *Fleet) Share(now time.Time) float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.hasMembers && len(f.peers) == 0 {
-		return initialShare
-	}
-	known, reachable := 1, 1
-	for _, p := range f.peers {
-		current := f.isCurrent(p, now)
-		if p.Leaving && !current {
-			continue
-		}
-		known++
-		if current {
-			reachable++
-		}
-	}
-	return float64(reachable) / float64(known)
-}
-
 // ReportFailure excludes an instance from ownership for failureBackoff.
 func (f *Fleet) ReportFailure(name string) {
 	f.mu.Lock()
--- /dev/null
+++ b/fleet/lease.go
@@ -0,0 +1,360 @@
+package fleet
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/mirror"
+	"github.com/basilloom/basilloom/telemetry/field"
+)
+
+// The parts of the fleet's limits are given out by the rows of the instances in the store.
+// An instance that has read its own row in good order holds a lease on its whole part. The
+// part of a silent peer is released in two writes: the first one marks its row, after which
+// no reading renews its lease, the second one follows when its lease must have ended. Each
+// step is in the store, so an instance that starts repeats at most the wait for the next
+// one. docs/design/state-across-starts.md has the failures.
+const (
+	// initialShare is the fraction of the fleet's limits that an instance uses before it
+	// has a list of the instances.
+	initialShare = 0.1
+	// silenceLimit is how long a peer sends no reports before its row is marked. Together
+	// with leaseTime and leaseMargin it must end well within the 12 s after which a fleet
+	// has to serve again.
+	silenceLimit = 2500 * time.Millisecond
+	// maxSilenceDoublings bounds the wait before a row is marked again that its instance
+	// has cleared.
+	maxSilenceDoublings = 5
+	// leaseTime is how long after a reading of the rows an instance spends its whole part.
+	// Readings are 2.2 s apart and reach other zones in up to 1.7 s.
+	leaseTime = 5 * time.Second
+	// leaseMargin covers the drift of the clocks.
+	leaseMargin = 500 * time.Millisecond
+	// keptFraction is the fraction of its part that an instance spends without a lease, and
+	// that the others leave to it.
+	keptFraction = 0.5
+	// keptTime is how long after its last lease an instance spends keptFraction, and
+	// releasedRetention how long its row is kept for that. Regions lose each other for an
+	// hour now and then.
+	keptTime          = 2 * time.Hour
+	releasedRetention = keptTime + 10*time.Minute
+	// maxRowsCheckGap is the gap between two checks of the rows after which this instance
+	// was paused and has missed its peers' reports.
+	maxRowsCheckGap = 2 * time.Second
+)
+
+// Row is the row of an instance with its version in the store.
+type Row struct {
+	Member  *pb.FleetMember
+	Version int64
+}
+
+// rowState is what an instance knows of a peer's row.
+type rowState struct {
+	Row
+	// markedAt is when the row was first seen marked as silent.
+	markedAt time.Time
+	// clearedAt is when a mark was last seen removed, and clears how often.
+	clearedAt time.Time
+	clears    int
+}
+
+func (p *Peer) released() bool { return p.row.Member.GetReleased() }
+
+// lease is this instance's right to its whole part of the limits.
+type lease struct {
+	// from is the store's clock at the newest reading that showed the own row in good order.
+	from time.Duration
+	held bool
+}
+
+// readAtMs is the time of a table's newest reading for the reports. Only the table of
+// instances needs it.
+func (f *Fleet) readAtMs(t *mirror.Table) int64 {
+	if t != f.settings.Instances {
+		return 0
+	}
+	return t.ReadAt().Milliseconds()
+}
+
+// confirmRows takes from a report that the sender's equal copy of the instances' rows is
+// current.
+func (f *Fleet) confirmRows(m *pb.FleetReport) {
+	for _, t := range m.GetTables() {
+		if f.settings.Instances != nil && t.GetTable() == f.settings.Instances.Name() {
+			f.settings.Instances.ConfirmFromPeer(t.GetDigest(), time.Duration(t.GetReadAtMs())*time.Millisecond)
+		}
+	}
+}
+
+// ownRow returns this instance's row in the newest copy of the rows.
+func (f *Fleet) ownRow(snapshot *mirror.Snapshot) Row {
+	row, ok := snapshot.Rows[f.settings.Self]
+	if !ok {
+		return Row{}
+	}
+	m := &pb.FleetMember{}
+	if err := proto.Unmarshal(row.Value, m); err != nil {
+		return Row{Version: row.Version}
+	}
+	return Row{Member: m, Version: row.Version}
+}
+
+// updateLeaseLocked renews the lease and returns how long ago, at most, it was renewed.
+func (f *Fleet) updateLeaseLocked() (age time.Duration, ok bool) {
+	if f.settings.Instances == nil || f.settings.LatestStoreTime == nil {
+		return 0, false
+	}
+	readAt := f.settings.Instances.ReadAt() // before the snapshot, which then includes it
+	if snapshot := f.settings.Instances.Current(); snapshot != nil {
+		own := f.ownRow(snapshot).Member
+		if own != nil && !own.GetSilent() && readAt.Milliseconds() >= own.GetLeaseFromMs() {
+			f.lease.from = max(f.lease.from, readAt)
+		}
+	}
+	latest, known := f.settings.LatestStoreTime()
+	if !known || f.lease.from == 0 {
+		return 0, false
+	}
+	return latest - f.lease.from, true
+}
+
+// Share returns the fraction of the fleet's limits that this instance and its reachable
+// peers may use together. A peer's part is excluded as soon as the peer can no longer
+// own groups, because both sides of a partition spend until then as one.
+func (f *Fleet) Share(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.hasMembers {
+		return initialShare
+	}
+	c := f.countLocked(now)
+	age, leased := f.updateLeaseLocked()
+	// Without a lease, a peer that is not heard may have released this instance's part.
+	everyone := c.reachable == c.known
+	held := everyone || leased && age <= leaseTime
+	if held != f.lease.held {
+		f.lease.held = held
+		f.settings.Log.Info("lease on the whole part of the limits", zap.Bool(field.Held, held), zap.Duration(field.LeaseAge, age),
+			zap.Int(field.Reachable, c.reachable), zap.Int(field.Instances, c.known))
+	}
+	part := 1 / float64(c.known)
+	switch {
+	case everyone:
+		return 1
+	case !held && leased && age > keptTime:
+		return 0
+	case !held:
+		return keptFraction * part * float64(c.reachable)
+	}
+	// What is released is divided between all instances that may hold a lease, also from a
+	// reading before a mark.
+	part += c.releasedParts / float64(c.known-c.released)
+	return part*float64(c.reachable-c.reachableReduced) + keptFraction/float64(c.known)*float64(c.reachableReduced)
+}
+
+// ReachableShare returns the fraction of all instances, including those whose part is
+// released, that this instance and its reachable peers make up.
+func (f *Fleet) ReachableShare(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.countLocked(now)
+	return float64(c.reachable) / float64(c.known)
+}
+
+// counts are numbers of instances, including this one.
+type counts struct {
+	known, reachable int
+	// reduced instances have only a fraction of their part: their row is marked, or was until
+	// lately.
+	reduced, reachableReduced int
+	// releasedParts is the fraction of the limits that the released instances no longer have.
+	released      int
+	releasedParts float64
+}
+
+func (f *Fleet) countLocked(now time.Time) counts {
+	c := counts{known: 1, reachable: 1}
+	var readAt time.Duration
+	if f.settings.Instances != nil {
+		readAt = f.settings.Instances.ReadAt()
+	}
+	var released []*Peer
+	for _, p := range f.peers {
+		current := f.isCurrent(p, now)
+		if p.Leaving && !current {
+			continue
+		}
+		c.known++
+		if current {
+			c.reachable++
+		}
+		if p.released() {
+			released = append(released, p)
+		}
+		if p.row.Member.GetSilent() || p.row.Member.GetLeaseFromMs() > readAt.Milliseconds() {
+			c.reduced++
+			if current {
+				c.reachableReduced++
+			}
+		}
+	}
+	c.released = len(released)
+	for _, p := range released {
+		// The peer keeps a fraction of its part of the fleet that it knew.
+		n := min(max(1, int(p.row.Member.GetMembers())), c.known)
+		c.releasedParts += max(0, 1/float64(c.known)-keptFraction/float64(n))
+	}
+	return c
+}
+
+// SetRows takes the instances' rows from the store. A peer without a row that sends no
+// reports has left.
+func (f *Fleet) SetRows(rows []Row, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hasMembers = true
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		name := row.Member.GetInstance()
+		if name == f.settings.Self || row.Member.GetAddress() == "" {
+			continue
+		}
+		listed[name] = true
+		p, ok := f.peers[name]
+		if !ok || f.hasStartedAnew(p, row, now) {
+			p = &Peer{
+				Name: name, Incarnation: row.Member.GetIncarnation(), Address: row.Member.GetAddress(), Zone: row.Member.GetZone(),
+				DiscoveredAt: now, row: f.rowOfLocked(name),
+			}
+			f.peers[name] = p
+		}
+		p.setRow(row, now)
+	}
+	for name, p := range f.peers {
+		if !listed[name] && !f.isCurrent(p, now) && (p.Leaving || now.Sub(p.lastSeen()) > silenceLimit+leaseTime) {
+			delete(f.peers, name)
+			f.settings.Log.Info("peer removed because it has no row and sends no reports", zap.String(field.Peer, name))
+		}
+	}
+	f.updateScheduleLocked()
+}
+
+// hasStartedAnew reports whether a row is that of a later start of the peer. Its incarnation
+// is lower if its clock was set back in between.
+func (f *Fleet) hasStartedAnew(p *Peer, row Row, now time.Time) bool {
+	incarnation := row.Member.GetIncarnation()
+	return incarnation > p.Incarnation ||
+		incarnation < p.Incarnation && p.row.Version > 0 && row.Version > p.row.Version && !f.isCurrent(p, now)
+}
+
+// rowOfLocked returns what is known of a peer's row, for a later start of the peer.
+func (f *Fleet) rowOfLocked(name string) rowState {
+	if p, ok := f.peers[name]; ok {
+		return p.row
+	}
+	return rowState{}
+}
+
+func (p *Peer) setRow(row Row, now time.Time) {
+	// The store may give out a version again when it is back from an older copy.
+	if row.Version == p.row.Version && proto.Equal(row.Member, p.row.Member) {
+		return
+	}
+	switch before := p.row.Member.GetSilent(); {
+	case row.Member.GetSilent() && !before:
+		p.row.markedAt = now
+	case before && !row.Member.GetSilent():
+		p.row.clearedAt = now
+		p.row.clears++
+	}
+	p.row.Row = row
+}
+
+// RowChange is a change of a peer's row that is due. Next is nil if the row is to be removed.
+type RowChange struct {
+	Row    Row
+	Next   *pb.FleetMember
+	Reason string
+}
+
+// DueRows returns the changes of the peers' rows that are due. storeNow is the latest time
+// that the store's clock can show.
+func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) []RowChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.rowsCheckedAt) > maxRowsCheckGap {
+		f.silentFrom = now
+	}
+	f.rowsCheckedAt = now
+	known := f.countLocked(now).known
+	var due []RowChange
+	for _, p := range f.peers {
+		if p.row.Member == nil {
+			continue
+		}
+		if change, ok := f.dueRowLocked(p, now, storeNow, known); ok {
+			change.Row = p.row.Row
+			due = append(due, change)
+		}
+	}
+	return due
+}
+
+func (f *Fleet) dueRowLocked(p *Peer, now time.Time, storeNow time.Duration, known int) (RowChange, bool) {
+	m := p.row.Member
+	if f.isCurrent(p, now) {
+		if !m.GetSilent() || p.Leaving {
+			return RowChange{}, false
+		}
+		return RowChange{Next: Cleared(p.member(), m, storeNow), Reason: "row of an instance that returned cleared"}, true
+	}
+	next := proto.CloneOf(m)
+	switch {
+	case !m.GetSilent():
+		silentFrom := later(later(p.lastSeen(), f.silentFrom), p.row.clearedAt)
+		next.Silent = true
+		return RowChange{Next: next, Reason: "row of a silent instance marked"},
+			now.Sub(silentFrom) >= silenceLimit<<min(p.row.clears, maxSilenceDoublings)
+	case !m.GetReleased():
+		next.Released, next.ReleasedAtMs, next.Members = true, storeNow.Milliseconds(), uint32(known)
+		return RowChange{Next: next, Reason: "part of a silent instance released"}, now.Sub(p.row.markedAt) >= leaseTime+leaseMargin
+	}
+	releasedFor := storeNow - time.Duration(m.GetReleasedAtMs())*time.Millisecond
+	return RowChange{Reason: "row of a lost instance removed"}, releasedFor > releasedRetention
+}
+
+// Cleared returns the row in good order of an instance whose row was before; storeNow is the
+// latest time that the store's clock can show. Other instances may spend a released part for
+// as long as their leases last.
+func Cleared(m, before *pb.FleetMember, storeNow time.Duration) *pb.FleetMember {
+	if before.GetSilent() {
+		m.LeaseFromMs = (storeNow + leaseTime + 2*leaseMargin).Milliseconds()
+	} else {
+		m.LeaseFromMs = before.GetLeaseFromMs()
+	}
+	return m
+}
+
+// OwnRow returns this instance's row in the newest copy of the rows, and false if there is
+// no copy yet.
+func (f *Fleet) OwnRow() (Row, bool) {
+	if f.settings.Instances == nil {
+		return Row{}, false
+	}
+	snapshot := f.settings.Instances.Current()
+	if snapshot == nil {
+		return Row{}, false
+	}
+	return f.ownRow(snapshot), true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -33,14 +33,17 @@
 func (f *Fleet) updateScheduleLocked() {
 	near := 0
 	zones := make(map[string]int)
+	distant := 0
 	for _, p := range f.peers {
-		if p.Zone == f.settings.Zone {
+		switch {
+		case p.released():
+		case p.Zone == f.settings.Zone:
 			near++
-		} else {
+		default:
 			zones[p.Zone]++
+			distant++
 		}
 	}
-	distant := len(f.peers) - near
 	s := schedule{relays: min(max(1, relayedWithin(preferredFarPeriod)/max(1, distant)), maxRelays)}
 	far := 0
 	for _, n := range zones {
@@ -93,12 +96,11 @@
 func (f *Fleet) reportNear() {
 	f.mu.Lock()
 	now := time.Now()
-	f.removeExpiredLocked(now)
 	message := f.newReportLocked()
 	message.SpendingPartial = f.nextIsPartialLocked(&f.nearReports, now)
 	var addresses []string
 	for _, p := range f.peers {
-		if p.Zone == f.settings.Zone {
+		if p.Zone == f.settings.Zone && (!p.released() || f.nearReports%releasedReportInterval == 0) {
 			addresses = append(addresses, p.Address)
 		}
 	}
@@ -114,7 +116,6 @@
 func (f *Fleet) reportFar() {
 	f.mu.Lock()
 	now := time.Now()
-	f.removeExpiredLocked(now)
 	message := f.newReportLocked()
 	message.SpendingPartial = f.nextIsPartialLocked(&f.farReports, now)
 	addresses := f.relaysLocked(now)
@@ -127,7 +128,7 @@
 func (f *Fleet) relaysLocked(now time.Time) []string {
 	byZone := make(map[string][]*Peer)
 	for _, p := range f.peers {
-		if p.Zone != f.settings.Zone {
+		if p.Zone != f.settings.Zone && (!p.released() || f.farReports%releasedReportInterval == 0) {
 			byZone[p.Zone] = append(byZone[p.Zone], p)
 		}
 	}
@@ -162,29 +163,13 @@
 		if current := t.Current(); current != nil {
 			message.Tables = append(message.Tables, &pb.TableVersion{
 				Table: t.Name(), Changed: current.Changed, Digest: current.Digest, StoreUnavailable: t.StoreUnavailable(),
+				ReadAtMs: f.readAtMs(t),
 			})
 		}
 	}
 	return message
 }
 
-// removeExpiredLocked removes the peers whose retention has ended.
-func (f *Fleet) removeExpiredLocked(now time.Time) {
-	before := len(f.peers)
-	for name, p := range f.peers {
-		if now.Sub(p.lastSeen()) > peerRetention {
-			delete(f.peers, name)
-			if f.settings.OnRemoved != nil {
-				f.settings.OnRemoved(p.member())
-			}
-			f.settings.Log.Info("peer removed because it sends no reports", zap.String(field.Peer, name))
-		}
-	}
-	if len(f.peers) < before {
-		f.updateScheduleLocked()
-	}
-}
-
 // send fills a report and sends it.
 func (f *Fleet) send(message *pb.FleetReport, addresses []string) {
 	if len(addresses) == 0 {
--- a/internal/instance/cold.go
+++ b/internal/instance/cold.go
@@ -9,6 +9,5 @@
 	if i.groups.Cold == nil {
 		return 0
 	}
-	known := float64(len(i.fleet.Members()))
-	return i.fleet.Share(now) * known / (known + float64(i.lost.count()))
+	return i.fleet.ReachableShare(now)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -54,14 +54,17 @@
 	// registry the table of registered targets.
 	operator *mirror.Table
 	registry *mirror.Table
-	targets  *targetList
-	pool     *forward.Pool
-	ledger   *quota.Ledger
-	gateway  *gateway.Gateway
-	memory   *gateway.Memory
-	placer   *gateway.Placer
-	groups   *gateway.Groups
-	fleet    *fleet.Fleet
+	// instances mirrors the rows of the instances. listed is set once they have been read.
+	instances *mirror.Table
+	listed    bool
+	targets   *targetList
+	pool      *forward.Pool
+	ledger    *quota.Ledger
+	gateway   *gateway.Gateway
+	memory    *gateway.Memory
+	placer    *gateway.Placer
+	groups    *gateway.Groups
+	fleet     *fleet.Fleet
 	// shared runs the fleet-wide groups that this instance owns. local runs the groups
 	// that this instance uses while no shared broker responds.
 	shared, local *broker.Manager
@@ -70,7 +73,7 @@
 	crashes       *crashes
 	tracker       *rollout.Tracker
 	orderStatus   orderStatus
-	lost          lostInstances
+	registered    atomic.Bool // this instance's row has been written
 	evacuations   evacuations
 	delays        linkDelays
 	// orderWaitLogged is when the last line on what a version order waits for was logged.
@@ -110,6 +113,7 @@
 	i.runCtx, i.stop = context.WithCancel(context.Background())
 	i.operator = mirror.NewTable(platform.TableOperator, i.store, log)
 	i.registry = mirror.NewTable(platform.TableTargets, i.store, log)
+	i.instances = mirror.NewTable(tableInstances, i.store, log)
 	i.targets = newTargetList(log)
 	i.crashes = newCrashes()
 	i.groups = &gateway.Groups{Links: zoneLinks(settings.Regions), Overload: settings.Overload,
@@ -136,8 +140,8 @@
 	}
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
-		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry}, FillReport: i.fillReport, OnReport: i.applyReport,
-		Authorize: key.Authorize, OnRemoved: i.lost.removed, OnDiscovered: i.lost.returned, Log: log,
+		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry, i.instances}, FillReport: i.fillReport, OnReport: i.applyReport,
+		Authorize: key.Authorize, Instances: i.instances, LatestStoreTime: i.store.LatestNow, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -181,10 +185,11 @@
 	i.listeners.run(i.runCtx, &running, i.log)
 	running.Go(func() { i.operator.Run(i.runCtx) })
 	running.Go(func() { i.registry.Run(i.runCtx) })
+	running.Go(func() { i.instances.Run(i.runCtx) })
 	running.Go(func() { i.watchTables(i.runCtx) })
 	running.Go(func() { i.fleet.Run(i.runCtx) })
 	running.Go(func() { i.register(i.runCtx) })
-	running.Go(func() { i.updateLostRows(i.runCtx) })
+	running.Go(func() { i.maintainRows(i.runCtx) })
 	running.Go(func() { i.runRollouts(i.runCtx) })
 	running.Go(func() { i.watchSettings(i.runCtx, file, reload) })
 	i.log.Info("instance started", zap.String(field.Callers, settings.Callers), zap.String(field.Store, settings.Store),
@@ -235,6 +240,8 @@
 			i.applyConfig()
 		case <-i.registry.Changed():
 			i.applyTargets()
+		case <-i.instances.Changed():
+			i.applyRows()
 		case now := <-ticker.C:
 			i.pool.Prune(now)
 			i.applyTargets()
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -13,12 +14,13 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/quota"
 	"github.com/basilloom/basilloom/scheduler"
+	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry/field"
 )
 
 const (
 	// tableInstances holds a row for each instance, written at its start and removed at its
-	// graceful shutdown, or by another instance after its loss.
+	// graceful shutdown. Package fleet says what its states mean.
 	tableInstances = "instances"
 	// registerRetry is the mean wait after a failed registration.
 	registerRetry = 500 * time.Millisecond
@@ -26,21 +28,16 @@
 	leaveTimeout = time.Second
 )
 
-// register writes this instance's row before it reads all rows, so that of two
-// instances that start together at least one finds the other.
+// register writes this instance's row.
 func (i *Instance) register(ctx context.Context) {
-	settings := i.settings.Load()
-	encoded, err := proto.Marshal(&pb.FleetMember{
-		Instance: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers, Zone: settings.Zone,
-	})
-	if err != nil {
-		i.log.Error("instance row not encoded", zap.Error(err))
-		return
-	}
+	rows := i.store.Table(tableInstances)
 	for ctx.Err() == nil {
-		if err := i.registerOnce(ctx, encoded); err == nil {
+		err := i.registerOnce(ctx, rows)
+		if err == nil {
+			i.registered.Store(true)
 			return
-		} else if ctx.Err() == nil {
+		}
+		if ctx.Err() == nil {
 			i.log.Warn("instance not registered", zap.Error(err))
 		}
 		wait := time.NewTimer(registerRetry/2 + rand.N(registerRetry))
@@ -52,26 +49,17 @@
 	}
 }
 
-func (i *Instance) registerOnce(ctx context.Context, encoded []byte) error {
-	if err := i.store.Set(ctx, tableInstances, i.settings.Load().Instance, encoded); err != nil {
+// registerOnce reads the row of an earlier start first, because its part may be released.
+func (i *Instance) registerOnce(ctx context.Context, rows storage.Table) error {
+	stored, err := rows.Get(ctx, storage.Key{Sort: i.settings.Load().Instance})
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return err
 	}
-	rows, _, err := i.store.Load(ctx, tableInstances)
-	if err != nil {
-		return err
-	}
-	var members []*pb.FleetMember
-	for _, row := range rows {
-		m := &pb.FleetMember{}
-		if err := proto.Unmarshal(row.Value, m); err != nil {
-			i.log.Warn("instance row not decoded", zap.String(field.Row, row.Key), zap.Error(err))
-			continue
-		}
-		members = append(members, m)
+	before := &pb.FleetMember{}
+	if err := proto.Unmarshal(stored.Value, before); err != nil {
+		i.log.Warn("instance row not decoded", zap.String(field.Key, stored.Key.Sort), zap.Error(err))
 	}
-	i.fleet.AddMembers(members)
-	i.log.Info("instances listed", zap.Int(field.Instances, len(members)))
-	return nil
+	return i.writeOwnRow(ctx, rows, fleet.Row{Member: before, Version: stored.Version})
 }
 
 // unregister removes this instance's row. If that fails, the peers drop the instance
--- /dev/null
+++ b/internal/instance/rows.go
@@ -0,0 +1,120 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basilloom/basilloom/fleet"
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/storage"
+	"github.com/basilloom/basilloom/telemetry/field"
+)
+
+// rowsPeriod is the interval between checks of the instances' rows.
+const rowsPeriod = time.Second
+
+// applyRows passes the instances' rows to the fleet.
+func (i *Instance) applyRows() {
+	snapshot := i.instances.Current()
+	rows := make([]fleet.Row, 0, len(snapshot.Rows))
+	for key, row := range snapshot.Rows {
+		m := &pb.FleetMember{}
+		if err := proto.Unmarshal(row.Value, m); err != nil {
+			i.log.Warn("instance row not decoded", zap.String(field.Key, key), zap.Error(err))
+			continue
+		}
+		rows = append(rows, fleet.Row{Member: m, Version: row.Version})
+	}
+	i.fleet.SetRows(rows, time.Now())
+	if !i.listed {
+		i.listed = true
+		i.log.Info("instances listed", zap.Int(field.Instances, len(rows)))
+	}
+}
+
+// maintainRows keeps this instance's row in good order and, if that is its duty, those of
+// its peers.
+func (i *Instance) maintainRows(ctx context.Context) {
+	ticker := time.NewTicker(rowsPeriod)
+	defer ticker.Stop()
+	rows := i.store.Table(tableInstances)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			i.restoreOwnRow(ctx, rows)
+			storeNow, _ := i.store.LatestNow()
+			due := i.fleet.DueRows(now, storeNow)
+			reachesStore := func(r *pb.FleetReport) bool { return !r.GetStatusUnavailable() }
+			if owner, _ := i.fleet.Owner(tableInstances, reachesStore, now); owner != i.settings.Load().Instance {
+				continue
+			}
+			for _, change := range due {
+				peer := zap.String(field.Peer, change.Row.Member.GetInstance())
+				err := updateRow(ctx, rows, change)
+				switch {
+				case errors.Is(err, storage.ErrConflict):
+				case err != nil:
+					i.log.Info("instance row not updated", peer, zap.Error(err))
+				default:
+					i.log.Info(change.Reason, peer)
+				}
+				if err != nil && !errors.Is(err, storage.ErrConflict) {
+					break // the store does not respond
+				}
+			}
+		}
+	}
+}
+
+func updateRow(ctx context.Context, rows storage.Table, change fleet.RowChange) error {
+	key := storage.Key{Sort: change.Row.Member.GetInstance()}
+	if change.Next == nil {
+		return rows.Delete(ctx, key, change.Row.Version)
+	}
+	value, err := proto.Marshal(change.Next)
+	if err != nil {
+		return err
+	}
+	_, err = rows.Put(ctx, key, value, change.Row.Version)
+	return err
+}
+
+// restoreOwnRow writes this instance's row again if peers have marked it, or if it is missing
+// because the store is back from an older copy.
+func (i *Instance) restoreOwnRow(ctx context.Context, rows storage.Table) {
+	own, ok := i.fleet.OwnRow()
+	if !ok || !i.registered.Load() || i.shuttingDown.Load() {
+		return
+	}
+	if own.Member != nil && (!own.Member.GetSilent() || own.Member.GetIncarnation() != i.incarnation) {
+		return
+	}
+	err := i.writeOwnRow(ctx, rows, own)
+	switch {
+	case err == nil:
+		i.log.Info("own row restored", zap.Bool(field.Missing, own.Member == nil))
+	case !errors.Is(err, storage.ErrConflict):
+		i.log.Info("own row not restored", zap.Error(err))
+	}
+}
+
+// writeOwnRow replaces this instance's row by one in good order.
+func (i *Instance) writeOwnRow(ctx context.Context, rows storage.Table, before fleet.Row) error {
+	storeNow, _ := i.store.LatestNow()
+	next := fleet.Cleared(i.member(), before.Member, storeNow)
+	return updateRow(ctx, rows, fleet.RowChange{Row: fleet.Row{Member: next, Version: before.Version}, Next: next})
+}
+
+// member returns this instance's row in good order.
+func (i *Instance) member() *pb.FleetMember {
+	settings := i.settings.Load()
+	return &pb.FleetMember{
+		Instance: settings.Instance, Incarnation: i.incarnation, Address: settings.Peers, Zone: settings.Zone,
+	}
+}
--- /dev/null
+++ b/internal/instance/rows_test.go
@@ -0,0 +1,116 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+// recoveryTime is the time after a start of all instances within which they must serve again.
+const recoveryTime = 12 * time.Second
+
+func (env *testEnv) putRow(m *pb.FleetMember) {
+	value, err := proto.Marshal(m)
+	require.NoError(env.t, err)
+	env.store.Put(tableInstances, m.GetInstance(), value)
+}
+
+// rowOf returns the row of an instance, or nil.
+func (n *node) rowOf(t *testing.T, name string) *pb.FleetMember {
+	rows, _, err := n.store.Load(context.Background(), tableInstances)
+	require.NoError(t, err)
+	for _, row := range rows {
+		if row.Key == name {
+			m := &pb.FleetMember{}
+			require.NoError(t, proto.Unmarshal(row.Value, m))
+			return m
+		}
+	}
+	return nil
+}
+
+// Guards against an instance that leaves lost ones their parts of all quotas because it has
+// started after their loss, also if it starts again before it has decided anything, and
+// against one that spends the whole parts of instances that may be cut off.
+func TestPartsOfLostInstancesAfterAStart(t *testing.T) {
+	t.Parallel()
+	const lost = 8
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 1000)
+	for k := range lost {
+		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
+	}
+	const spent = 1./9 + 0.5*8/9
+	first := env.start("i1")
+	time.Sleep(time.Second)
+	first.kill()
+	again := env.start("i1")
+	startedAt := time.Now()
+	require.Eventually(t, func() bool { return again.ledger.Share() < 1./9+1e-9 }, contactTime, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return math.Abs(again.ledger.Share()-spent) < 1e-9 }, recoveryTime-time.Since(startedAt), 20*time.Millisecond)
+	again.kill()
+	last := env.start("i1")
+	require.Eventually(t, func() bool { return math.Abs(last.ledger.Share()-spent) < 1e-9 }, contactTime, 20*time.Millisecond)
+}
+
+// Guards against an instance without a row in good order, because peers have marked it or the
+// store is back from an older copy, and against the loss of the row of a later start.
+func TestInstanceRestoresItsRow(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 1000)
+	n := env.start("i1")
+	inGoodOrder := func() bool {
+		m := n.rowOf(t, "i1")
+		return m != nil && !m.GetSilent() && m.GetIncarnation() == n.incarnation
+	}
+	require.Eventually(t, inGoodOrder, contactTime, 20*time.Millisecond)
+	env.store.Delete(tableInstances, "i1")
+	require.False(t, inGoodOrder())
+	require.Eventually(t, inGoodOrder, contactTime, 20*time.Millisecond)
+	marked := n.member()
+	marked.Silent, marked.Released = true, true
+	env.putRow(marked)
+	require.False(t, inGoodOrder())
+	require.Eventually(t, inGoodOrder, contactTime, 20*time.Millisecond)
+	require.Greater(t, n.rowOf(t, "i1").GetLeaseFromMs(), n.store.Now().Milliseconds(), "others may still spend the released part")
+	marked.Incarnation++
+	env.putRow(marked)
+	time.Sleep(2 * rowsPeriod)
+	require.True(t, proto.Equal(marked, n.rowOf(t, "i1")))
+}
+
+// Guards against a silent instance whose row stays marked when it returns, at any step of the
+// release.
+func TestRowOfAnInstanceThatReturns(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 1000)
+	n := env.start("i1")
+	away := &pb.FleetMember{Instance: "away", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"}
+	env.putRow(away)
+	conn, err := net.Dial("udp4", n.settings.Load().Peers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	sequence := uint64(0)
+	require.Eventually(t, func() bool { return n.rowOf(t, "away").GetSilent() }, recoveryTime, 20*time.Millisecond)
+	for range 2 {
+		require.Eventually(t, func() bool {
+			sequence++
+			report, err := proto.Marshal(&pb.FleetReport{Instance: "away", Incarnation: 1, Address: away.Address, Zone: "z1", Sequence: sequence, StatusUnavailable: true})
+			require.NoError(t, err)
+			_, err = conn.Write(report)
+			require.NoError(t, err)
+			return !n.rowOf(t, "away").GetSilent()
+		}, contactTime, 100*time.Millisecond)
+		require.Eventually(t, func() bool { return n.rowOf(t, "away").GetReleased() }, 2*recoveryTime, 20*time.Millisecond)
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -38,6 +38,8 @@
 	Rows []Change
 	// Version is the store's version after the changes.
 	Version int64
+	// ReadAt is the store's clock when it made the response.
+	ReadAt time.Duration
 }
 
 // ErrCompacted reports that the store no longer has the change history since the version.
@@ -114,6 +116,8 @@
 	outageSince, recoveredAt time.Time
 	// respondedAt is when the store last responded.
 	respondedAt time.Time
+	// readAt is the store's clock at the newest reading that the copy includes.
+	readAt time.Duration
 }
 
 // NewTable returns an empty copy of the named table, which reads the store.
@@ -175,6 +179,24 @@
 	return !t.outageSince.IsZero()
 }
 
+// ReadAt returns the store's clock at the newest reading that the copy includes, 0 before
+// the first. A snapshot that is taken afterwards includes that reading, too.
+func (t *Table) ReadAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readAt
+}
+
+// ConfirmFromPeer records that a peer's copy with the digest included a reading at the
+// store's time readAt.
+func (t *Table) ConfirmFromPeer(digest uint64, readAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != nil && t.current.Digest == digest {
+		t.readAt = max(t.readAt, readAt)
+	}
+}
+
 // PeerCopy is a peer's copy of a table, or its difference from an earlier version.
 type PeerCopy struct {
 	Version, Changed int64
@@ -312,8 +334,8 @@
 		return nil
 	}
 	after, wait := t.Version(), watchWait
-	if t.StoreUnavailable() {
-		wait = 0 // a call that waits tells late that the store responds again
+	if t.StoreUnavailable() || t.ReadAt() == 0 {
+		wait = 0 // a call that waits tells late that the store responds
 	}
 	changes, err := t.source.Watch(ctx, t.name, after, wait)
 	if err == nil || errors.Is(err, ErrCompacted) {
@@ -369,6 +391,11 @@
 func (t *Table) apply(after int64, changes Changes) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer func() {
+		if t.current.Version >= changes.Version {
+			t.readAt = max(t.readAt, changes.ReadAt)
+		}
+	}()
 	if t.current.Version != after || changes.Version <= after {
 		return false
 	}
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -118,6 +118,14 @@
 	Loads = "loads"
 	// Relayed is the number of reports of other instances that a report contains.
 	Relayed = "relayed"
+	// Held is set if the instance holds the lease on its whole part of the quotas.
+	Held = "held"
+	// Missing is set if a row was not in the store.
+	Missing = "missing"
+	// LeaseAge is the time since the reading of the instances' rows on which a lease rests.
+	LeaseAge = "lease_age"
+	// Reachable is the number of instances with recent reports, including this one.
+	Reachable = "reachable"
 	// SinceLastReport is the time since the last report of a peer.
 	SinceLastReport = "silent"
 	// Callers is the address of the listener for callers.
