mirror, platform: a store that is back from an older copy is followed

Callers saw: after a store had come back from a copy some seconds old, instances followed no change of the configuration or the registry until the store's versions had passed those from before, because a reading with a lower version counted as older than the copy in use.

Cause: the version of a table was the store's version alone, and the header Store-Era was not read. Versions are given out again, so equal versions of a row may stand for different values.

Change: the version of a table includes the era, in its high bits. A feed from another era is answered with a full read; digests of copies of different eras differ, so peers copy them whole. Versions of rows stay as they are, so version orders keep their identity.

Evidence: TestStoreBackFromAnOlderCopyIsFollowed fails before (a target is missing for good) and passes after.

--- a/internal/instance/tables_test.go
+++ b/internal/instance/tables_test.go
@@ -66,3 +66,43 @@
 	}
 	return ids
 }
+
+// Guards against an instance that follows nothing until the store's versions have passed those
+// from before its return from an older copy, and against one that keeps a row whose version
+// was given out again.
+func TestStoreBackFromAnOlderCopyIsFollowed(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	served := env.worker("w-1", worker.Always(worker.Serve))
+	env.configure(testRoutes(), []string{testKey}, 0)
+	nodes := []*node{env.start("i1"), env.start("i2"), env.start("i3"), env.start("i4")}
+	waitForFleet(t, nodes)
+	older := env.store.Copy()
+	env.store.Put("other", "key", nil)
+	env.store.Delete(platform.TableTargets, served.ID)
+	for range 50 {
+		env.store.Put("other", "key", nil)
+	}
+	has := func(id string) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if _, ok := n.registry.Current().Rows[id]; !ok {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if _, ok := n.registry.Current().Rows[served.ID]; ok {
+				return false
+			}
+		}
+		return true
+	}, contactTime, 20*time.Millisecond)
+	env.store.Restore(older)
+	require.Eventually(t, has(served.ID), contactTime, 20*time.Millisecond)
+	env.worker("w-2", worker.Always(worker.Serve))
+	require.Eventually(t, has("w-2"), contactTime, 20*time.Millisecond)
+}
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -58,7 +59,9 @@
 	historyStart int64
 	changed      chan struct{}
 	faults       Faults
-	mux          *http.ServeMux
+	// era counts the calls of Restore.
+	era int64
+	mux *http.ServeMux
 }
 
 // New returns an empty store.
@@ -85,6 +88,29 @@
 	s.history, s.historyStart = nil, s.ver
 }
 
+// Copy is an older state of a store.
+type Copy struct {
+	ver  int64
+	rows map[rowKey]Row
+}
+
+// Copy returns a copy of the current state for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.ver, maps.Clone(s.rows)}
+}
+
+// Restore brings the store back from a copy. Versions since then are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver, s.rows, s.history, s.historyStart = c.ver, maps.Clone(c.rows), nil, c.ver
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Put writes a row directly, as another client of the platform would.
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -103,6 +129,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faults := s.faults
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(faults.Delay)
 	if faults.Refuse != 0 {
@@ -185,7 +212,7 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		rows, ver, changed, compacted := s.since(query.Get("table"), after), s.ver, s.changed, after < s.historyStart
+		rows, ver, changed, compacted := s.since(query.Get("table"), after), s.ver, s.changed, after < s.historyStart || after > s.ver
 		s.mu.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -45,7 +45,20 @@
 // ErrCompacted reports that the store no longer has the change history since the version.
 var ErrCompacted = errors.New("change history is no longer available")
 
-// Source reads tables from the store.
+// eraBits is the number of low bits of a table's version that hold the store's version. The
+// store may come back from an older copy and give out versions again, which starts an era.
+const eraBits = 40
+
+// VersionIn returns the version of a table at a version of the store in an era. Versions of
+// later eras are higher. The versions of rows have no era.
+func VersionIn(era, version int64) int64 { return era<<eraBits | version }
+
+// Era returns the era and the store's version of a table's version.
+func Era(version int64) (era, storeVersion int64) {
+	return version >> eraBits, version & (1<<eraBits - 1)
+}
+
+// Source reads tables from the store. The versions of tables are those of VersionIn.
 type Source interface {
 	// Load returns all rows and their store version.
 	Load(ctx context.Context, table string) ([]Row, int64, error)
@@ -86,9 +99,11 @@
 	Rows   map[string]Row
 }
 
-// digest sums the hashes of the rows, so the result does not depend on their order.
-func digest(rows map[string]Row) uint64 {
-	var sum uint64
+// digest sums the hashes of the rows, so the result does not depend on their order. The same
+// version of a row may stand for another value in another era.
+func digest(rows map[string]Row, version int64) uint64 {
+	era, _ := Era(version)
+	sum := uint64(era)
 	for _, row := range rows {
 		d := xxhash.New()
 		_, _ = d.WriteString(row.Key) // xxhash never fails
@@ -224,11 +239,14 @@
 	c := PeerCopy{
 		Version: t.current.Version, Changed: t.current.Changed, Digest: t.current.Digest, After: version, RecoveredAt: t.recoveredAt,
 	}
+	era, after := Era(version)
+	currentEra, _ := Era(t.current.Version)
+	whole := version == 0 || era != currentEra
 	for key, row := range t.current.Rows {
-		if row.Version > version {
+		if whole || row.Version > after {
 			c.Rows = append(c.Rows, row)
 		}
-		if version > 0 {
+		if !whole {
 			c.Keys = append(c.Keys, KeyHash(key))
 		}
 	}
@@ -364,7 +382,7 @@
 	if t.current != nil && version < t.current.Version {
 		return false // a peer's newer copy is in use
 	}
-	if t.current != nil && sameRows(t.current.Rows, rows) {
+	if t.current != nil && sameEra(t.current.Version, version) && sameRows(t.current.Rows, rows) {
 		t.current = &Snapshot{Version: version, Changed: t.current.Changed, Digest: t.current.Digest, Rows: t.current.Rows}
 		return false
 	}
@@ -374,6 +392,8 @@
 	return !first
 }
 
+func sameEra(a, b int64) bool { return a>>eraBits == b>>eraBits }
+
 func sameRows(current map[string]Row, rows []Row) bool {
 	if len(current) != len(rows) {
 		return false
@@ -411,7 +431,7 @@
 			rows[change.Key] = change.Row
 		}
 	}
-	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Digest: digest(rows), Rows: rows}
+	t.current = &Snapshot{Version: changes.Version, Changed: changes.Version, Digest: digest(rows, changes.Version), Rows: rows}
 	t.signal()
 	return true
 }
@@ -421,7 +441,7 @@
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
-	return &Snapshot{Version: version, Changed: changed, Digest: digest(byKey), Rows: byKey}
+	return &Snapshot{Version: version, Changed: changed, Digest: digest(byKey, version), Rows: byKey}
 }
 
 func (t *Table) signal() {
