scheduler: one type for the evidence against requests that crash targets

Cause: contents and shared parts of prompts had a record type, an entry form and a merge each, and what they share was stated nowhere, so a change to one missed the other.

Change: CrashEvidence is the form that groups and instances exchange, and its comment states the invariant; one record type and one join serve contents and parts. Full tables of parts evict the record that expires first, as those of contents do.

--- a/broker/manager.go
+++ b/broker/manager.go
@@ -40,7 +40,7 @@
 	RequestFloor func(ctx context.Context, sibling GroupKey, from int, highest scheduler.Rank, valid time.Duration) error
 	// OnQuarantine sends suspects, quarantined fingerprints and suspects that were served to
 	// the other instances.
-	OnQuarantine func([]scheduler.QuarantineEntry)
+	OnQuarantine func([]scheduler.CrashEvidence)
 	// OnDecision receives every decision on a ticket. The group waits until it returns.
 	OnDecision func(TracedDecision)
 }
@@ -222,7 +222,7 @@
 
 // SetQuarantined passes the suspects and quarantined fingerprints reported by other
 // instances to all groups.
-func (m *Manager) SetQuarantined(entries []scheduler.QuarantineEntry) {
+func (m *Manager) SetQuarantined(entries []scheduler.CrashEvidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
--- a/broker/runner.go
+++ b/broker/runner.go
@@ -217,7 +217,7 @@
 	}
 }
 
-func (r *runner) setQuarantined(entries []scheduler.QuarantineEntry) event {
+func (r *runner) setQuarantined(entries []scheduler.CrashEvidence) event {
 	return func(now time.Time) []scheduler.Decision { return r.group.SetQuarantined(now, entries) }
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -440,7 +440,7 @@
 	}
 }
 
-func (d *Daemon) publishQuarantine(entries []scheduler.QuarantineEntry) {
+func (d *Daemon) publishQuarantine(entries []scheduler.CrashEvidence) {
 	now := time.Now()
 	for _, e := range entries {
 		if e.Served {
@@ -452,10 +452,10 @@
 	}
 }
 
-func quarantineEntries(records []membership.Quarantine, now time.Time) []scheduler.QuarantineEntry {
-	entries := make([]scheduler.QuarantineEntry, 0, len(records))
+func quarantineEntries(records []membership.Quarantine, now time.Time) []scheduler.CrashEvidence {
+	entries := make([]scheduler.CrashEvidence, 0, len(records))
 	for _, q := range records {
-		entries = append(entries, scheduler.QuarantineEntry{
+		entries = append(entries, scheduler.CrashEvidence{
 			Fingerprint: q.Fingerprint, ValidFor: q.Expires.Sub(now), CrashedTargets: q.CrashedTargets,
 		})
 	}
--- a/internal/instance/brokers.go
+++ b/internal/instance/brokers.go
@@ -95,7 +95,7 @@
 func (i *Instance) assembleBrokers(key peer.Key) {
 	settings := i.settings.Load()
 	self := broker.Peer{Name: settings.Instance, Address: settings.Peers}
-	hooks := broker.Hooks{OnQuarantine: func(entries []scheduler.QuarantineEntry) { i.applyCrashes(entries, fromGroup) }}
+	hooks := broker.Hooks{OnQuarantine: func(entries []scheduler.CrashEvidence) { i.applyCrashes(entries, fromGroup) }}
 	resolver := localResolver{self}
 	i.peers = peer.NewPool(key)
 	i.shared = broker.NewManager(i.runCtx, self.Name, fleetResolver{i}, i.groups, nil, hooks, i.log)
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -41,7 +41,7 @@
 
 // applyCrashes adds records of requests that crash targets and passes changes to the
 // groups.
-func (i *Instance) applyCrashes(entries []scheduler.QuarantineEntry, source crashSource) {
+func (i *Instance) applyCrashes(entries []scheduler.CrashEvidence, source crashSource) {
 	now := time.Now()
 	changed := i.crashes.merge(now, entries, source)
 	if len(changed) == 0 {
@@ -95,7 +95,7 @@
 // servedContent is an entry of a request that was served and the number of reports that
 // still contain it.
 type servedContent struct {
-	entry   scheduler.QuarantineEntry
+	entry   scheduler.CrashEvidence
 	reports int
 }
 
@@ -104,12 +104,12 @@
 }
 
 // merge adds entries and returns those that changed a record.
-func (c *crashes) merge(now time.Time, entries []scheduler.QuarantineEntry, source crashSource) []scheduler.QuarantineEntry {
+func (c *crashes) merge(now time.Time, entries []scheduler.CrashEvidence, source crashSource) []scheduler.CrashEvidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var changed []scheduler.QuarantineEntry
+	var changed []scheduler.CrashEvidence
 	for _, e := range entries {
-		if !c.records.Merge(now, []scheduler.QuarantineEntry{e}) {
+		if !c.records.Merge(now, []scheduler.CrashEvidence{e}) {
 			continue
 		}
 		changed = append(changed, e)
@@ -143,13 +143,13 @@
 	return verdict == scheduler.VerdictQuarantined
 }
 
-func (c *crashes) entries(now time.Time) []scheduler.QuarantineEntry {
+func (c *crashes) entries(now time.Time) []scheduler.CrashEvidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.entriesLocked(now)
 }
 
-func (c *crashes) entriesLocked(now time.Time) []scheduler.QuarantineEntry {
+func (c *crashes) entriesLocked(now time.Time) []scheduler.CrashEvidence {
 	c.records.Expire(now)
 	return c.records.Entries(now)
 }
@@ -157,11 +157,11 @@
 // forReport returns the records for the next report: new ones, those of refused contents
 // and prompt parts, and the next of the others in rotation. Their number does not depend on
 // the number of records.
-func (c *crashes) forReport(now time.Time) []scheduler.QuarantineEntry {
+func (c *crashes) forReport(now time.Time) []scheduler.CrashEvidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := mostCrashesFirst(c.entriesLocked(now))
-	var report, refused, others []scheduler.QuarantineEntry
+	var report, refused, others []scheduler.CrashEvidence
 	inForce := make(map[uint64]bool, len(all))
 	for _, e := range all {
 		inForce[e.Fingerprint] = true
@@ -182,10 +182,10 @@
 }
 
 // servedForReport returns the served contents for the next report.
-func (c *crashes) servedForReport() []scheduler.QuarantineEntry {
+func (c *crashes) servedForReport() []scheduler.CrashEvidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var report []scheduler.QuarantineEntry
+	var report []scheduler.CrashEvidence
 	for k := range c.served[:min(len(c.served), maxNewRecords)] {
 		report = append(report, c.served[k].entry)
 		c.served[k].reports--
@@ -196,8 +196,8 @@
 
 // mostCrashesFirst sorts the records by their crashes, and those of prompt parts before
 // others with as many.
-func mostCrashesFirst(entries []scheduler.QuarantineEntry) []scheduler.QuarantineEntry {
-	slices.SortStableFunc(entries, func(a, b scheduler.QuarantineEntry) int {
+func mostCrashesFirst(entries []scheduler.CrashEvidence) []scheduler.CrashEvidence {
+	slices.SortStableFunc(entries, func(a, b scheduler.CrashEvidence) int {
 		switch {
 		case a.Crashes != b.Crashes:
 			return cmp.Compare(b.Crashes, a.Crashes)
@@ -218,13 +218,13 @@
 }
 
 // next returns up to n entries that follow the last ones in the order of fingerprints.
-func (r *rotation) next(entries []scheduler.QuarantineEntry, n int) []scheduler.QuarantineEntry {
-	slices.SortFunc(entries, func(a, b scheduler.QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+func (r *rotation) next(entries []scheduler.CrashEvidence, n int) []scheduler.CrashEvidence {
+	slices.SortFunc(entries, func(a, b scheduler.CrashEvidence) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	next := 0
 	for next < len(entries) && entries[next].Fingerprint <= r.last {
 		next++
 	}
-	var chosen []scheduler.QuarantineEntry
+	var chosen []scheduler.CrashEvidence
 	for range min(n, len(entries)) {
 		e := entries[next%len(entries)]
 		chosen = append(chosen, e)
--- a/internal/instance/crashes_test.go
+++ b/internal/instance/crashes_test.go
@@ -16,10 +16,10 @@
 )
 
 // crashEntries returns records of n requests, each of which ran on one crashed target.
-func crashEntries(n int) []scheduler.QuarantineEntry {
-	var entries []scheduler.QuarantineEntry
+func crashEntries(n int) []scheduler.CrashEvidence {
+	var entries []scheduler.CrashEvidence
 	for k := range n {
-		entries = append(entries, scheduler.QuarantineEntry{
+		entries = append(entries, scheduler.CrashEvidence{
 			Fingerprint: rand.Uint64() | 1, ValidFor: time.Minute, CrashedTargets: []string{fmt.Sprintf("i-%010x", k)},
 		})
 	}
@@ -99,12 +99,12 @@
 	now := time.Now()
 	sender := newCrashes()
 	sender.merge(now, crashEntries(100), fromGroup)
-	part := scheduler.QuarantineEntry{Fingerprint: 7, Part: true, Crashes: scheduler.PartCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
-	sender.merge(now, []scheduler.QuarantineEntry{part}, fromGroup)
+	part := scheduler.CrashEvidence{Fingerprint: 7, Part: true, Crashes: scheduler.PartCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
+	sender.merge(now, []scheduler.CrashEvidence{part}, fromGroup)
 	for range 200 {
 		late := newCrashes()
 		late.merge(now, sender.forReport(now), fromPeer)
-		require.True(t, slices.ContainsFunc(late.entries(now), func(e scheduler.QuarantineEntry) bool {
+		require.True(t, slices.ContainsFunc(late.entries(now), func(e scheduler.CrashEvidence) bool {
 			return e.Fingerprint == part.Fingerprint && e.Crashes == part.Crashes
 		}))
 	}
@@ -117,8 +117,8 @@
 	now := time.Now()
 	sender := newCrashes()
 	sender.merge(now, crashEntries(100), fromGroup)
-	content := scheduler.QuarantineEntry{Fingerprint: math.MaxUint64, Crashes: scheduler.QuarantineCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
-	sender.merge(now, []scheduler.QuarantineEntry{content}, fromGroup)
+	content := scheduler.CrashEvidence{Fingerprint: math.MaxUint64, Crashes: scheduler.QuarantineCrashes, ValidFor: time.Minute, CrashedTargets: []string{"a", "b"}}
+	sender.merge(now, []scheduler.CrashEvidence{content}, fromGroup)
 	for range 200 {
 		late := newCrashes()
 		late.merge(now, sender.forReport(now), fromPeer)
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -113,15 +113,15 @@
 	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
 	i.applyPhases(m.GetPhases(), time.Now())
 	i.applyDelays(m, time.Now())
-	entries := make([]scheduler.QuarantineEntry, 0, len(m.GetCrashes()))
+	entries := make([]scheduler.CrashEvidence, 0, len(m.GetCrashes()))
 	for _, c := range m.GetCrashes() {
-		entries = append(entries, scheduler.QuarantineEntry{
+		entries = append(entries, scheduler.CrashEvidence{
 			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(), Begun: c.GetBegun(),
 			Part: c.GetPart(), Crashes: int(c.GetCrashes()), Companions: c.GetCompanions(),
 		})
 	}
 	for _, c := range m.GetServedContents() {
-		entries = append(entries, scheduler.QuarantineEntry{
+		entries = append(entries, scheduler.CrashEvidence{
 			Fingerprint: c.GetFingerprint(), ValidFor: scheduler.SuspectDuration, CrashedTargets: c.GetTargets(), Served: true,
 		})
 	}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -51,10 +51,10 @@
 
 // SetQuarantined merges the suspects and quarantined fingerprints that other
 // instances reported.
-func (g *Group) SetQuarantined(now time.Time, entries []QuarantineEntry) []Decision {
+func (g *Group) SetQuarantined(now time.Time, entries []CrashEvidence) []Decision {
 	g.now = now
 	for _, e := range entries {
-		if !g.quarantine.Merge(now, []QuarantineEntry{e}) || e.Served {
+		if !g.quarantine.Merge(now, []CrashEvidence{e}) || e.Served {
 			continue
 		}
 		for _, name := range e.CrashedTargets {
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -54,7 +54,7 @@
 	// crashRecorded is set when a crash is recorded.
 	crashRecorded bool
 	// servedSuspects holds the entries of suspects served since TakeServedSuspects.
-	servedSuspects []QuarantineEntry
+	servedSuspects []CrashEvidence
 	// failedContent holds, by the fingerprint of a request that failed, the targets of
 	// which it may be the last failure.
 	failedContent map[uint64][]*targetState
@@ -484,7 +484,7 @@
 
 // TakeServedSuspects returns the entries of the suspects that were served since the last
 // call, to send to other instances.
-func (g *Group) TakeServedSuspects() []QuarantineEntry {
+func (g *Group) TakeServedSuspects() []CrashEvidence {
 	served := g.servedSuspects
 	g.servedSuspects = nil
 	return served
@@ -492,4 +492,4 @@
 
 // Quarantined returns the suspects and quarantined fingerprints to send to other
 // instances.
-func (g *Group) Quarantined(now time.Time) []QuarantineEntry { return g.quarantine.Entries(now) }
+func (g *Group) Quarantined(now time.Time) []CrashEvidence { return g.quarantine.Entries(now) }
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -184,7 +184,7 @@
 // request that reaches a third target.
 func TestSuspectsRunExclusively(t *testing.T) {
 	poison := func(n int) Ticket { return testTicket(n, func(t *Ticket) { t.Fingerprint = 666 }) }
-	suspect := []QuarantineEntry{{Fingerprint: 666, ValidFor: time.Minute, CrashedTargets: []string{"z"}}}
+	suspect := []CrashEvidence{{Fingerprint: 666, ValidFor: time.Minute, CrashedTargets: []string{"z"}}}
 	group := func(targets ...Target) *Group {
 		g := testGroup(GroupConfig{}, targets...)
 		g.SetQuarantined(t0, suspect)
@@ -256,9 +256,9 @@
 // against a suspect that never gets a target because none is open.
 func TestSuspectsDoNotBlockOthers(t *testing.T) {
 	const suspects = 2 * maxSkips
-	var entries []QuarantineEntry
+	var entries []CrashEvidence
 	for n := range suspects {
-		entries = append(entries, QuarantineEntry{Fingerprint: uint64(100 + n), ValidFor: time.Minute, CrashedTargets: []string{"z"}})
+		entries = append(entries, CrashEvidence{Fingerprint: uint64(100 + n), ValidFor: time.Minute, CrashedTargets: []string{"z"}})
 	}
 	suspect := func(n int) Ticket {
 		return testTicket(100+n, func(t *Ticket) { t.Fingerprint = uint64(100 + n) })
@@ -397,7 +397,7 @@
 	} {
 		g := testGroup(GroupConfig{}, Target{Name: "a", Concurrency: 3, DecodeTokensPerSecond: 50})
 		require.Len(t, g.Submit(t0, testTicket(1, func(t *Ticket) { t.OutputTokens = 200 })), 1, name) // 4 s
-		g.SetQuarantined(t0, []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"z"}}})
+		g.SetQuarantined(t0, []CrashEvidence{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"z"}}})
 		require.Empty(t, g.Submit(t0, testTicket(2, func(t *Ticket) {
 			t.Fingerprint = 7
 			t.Deadline = t0.Add(c.wait)
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -22,25 +22,14 @@
 	maxPartCompanions = 4
 )
 
-// partRecord is the record of a part of prompts that requests share. A request that
-// begins to receive its response shows that none of its parts crashes targets; until
-// then each crash under a request that had not begun counts for all of its parts.
-type partRecord struct {
-	// crashes counts the crashes since a request with the part last began.
-	crashes int
-	// targets lists the crashed targets, including those of earlier crashes, so that a
-	// late entry from a peer does not count again.
-	targets []string
-	// companions are other parts of the request that crashed last. Until one of them has
-	// been cleared, any of them may be the cause.
-	companions  []uint64
-	last, until time.Time
-}
+// The record of a part counts the crashes under requests that had not begun to receive their
+// response. A request that begins shows that none of its parts crashes targets.
 
-func (r *partRecord) quarantined() bool { return r.crashes >= PartCrashes }
+// partQuarantined reports whether the record is that of a quarantined part.
+func (r *record) partQuarantined() bool { return r.crashes >= PartCrashes }
 
 // retryAt returns when one request with the quarantined part may run again.
-func (r *partRecord) retryAt() time.Time {
+func (r *record) retryAt() time.Time {
 	backoff := partRetryBackoff
 	for range r.crashes - PartCrashes {
 		backoff = min(partRetryFactor*backoff, QuarantineDuration)
@@ -49,7 +38,7 @@
 }
 
 // part returns the record of a part that crashes are counted for, or nil.
-func (q *Quarantine) part(now time.Time, part uint64) *partRecord {
+func (q *Quarantine) part(now time.Time, part uint64) *record {
 	if r, ok := q.parts[part]; ok && r.crashes > 0 && now.Before(r.until) {
 		return r
 	}
@@ -68,7 +57,7 @@
 	if r := q.part(now, part); r != nil {
 		crashes += r.crashes
 	}
-	return q.addPart(now, QuarantineEntry{
+	return q.add(now, CrashEvidence{
 		Fingerprint: part, Part: true, ValidFor: QuarantineDuration, CrashedTargets: []string{target},
 		Crashes: crashes, Companions: companions,
 	})
@@ -81,49 +70,10 @@
 	if r == nil {
 		return false
 	}
-	r.crashes = 0
+	r.clear()
 	return true
 }
 
-// addPart adds an entry and reports whether the record changed.
-func (q *Quarantine) addPart(now time.Time, e QuarantineEntry) bool {
-	r, ok := q.parts[e.Fingerprint]
-	if !ok || !now.Before(r.until) {
-		if len(q.parts) >= maxQuarantineRecords {
-			q.Expire(now)
-		}
-		if len(q.parts) >= maxQuarantineRecords {
-			return false
-		}
-		r = &partRecord{}
-		q.parts[e.Fingerprint] = r
-	}
-	unseen := unseenTargets(r.targets, e.CrashedTargets)
-	crashes := max(r.crashes, min(r.crashes+len(unseen), e.Crashes))
-	if len(unseen) == 0 || crashes == r.crashes && len(r.targets) == maxRecordTargets {
-		return false
-	}
-	r.targets = lastTargets(append(r.targets, unseen...))
-	r.crashes = crashes
-	r.companions = slices.Clone(e.Companions[:min(len(e.Companions), maxPartCompanions)])
-	r.last, r.until = now, now.Add(e.ValidFor)
-	return true
-}
-
-// partEntries returns the records of parts in force.
-func (q *Quarantine) partEntries(now time.Time) []QuarantineEntry {
-	var entries []QuarantineEntry
-	for part := range q.parts {
-		if r := q.part(now, part); r != nil {
-			entries = append(entries, QuarantineEntry{
-				Fingerprint: part, Part: true, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.targets),
-				Crashes: r.crashes, Companions: r.companions,
-			})
-		}
-	}
-	return entries
-}
-
 // verdict returns the treatment of a ticket: the strictest of those of its fingerprint
 // and its parts.
 func (g *Group) verdict(now time.Time, t *Ticket) (Verdict, time.Duration) {
@@ -143,8 +93,8 @@
 // partVerdict returns VerdictQuarantined only if the part itself must be the cause of the
 // crashes: no other request with it is about to begin, and none of its companions that is
 // quarantined as well is missing from the ticket.
-func (g *Group) partVerdict(now time.Time, t *Ticket, part uint64, r *partRecord) Verdict {
-	if !r.quarantined() || g.isOnTrial(now, part) {
+func (g *Group) partVerdict(now time.Time, t *Ticket, part uint64, r *record) Verdict {
+	if !r.partQuarantined() || g.isOnTrial(now, part) {
 		return VerdictTrial
 	}
 	if !g.cfg.NoPartRetries && !now.Before(r.retryAt()) {
@@ -152,7 +102,7 @@
 	}
 	for _, companion := range r.companions {
 		c := g.quarantine.part(now, companion)
-		if c != nil && c.quarantined() && !slices.Contains(t.SharedParts, companion) {
+		if c != nil && c.partQuarantined() && !slices.Contains(t.SharedParts, companion) {
 			return VerdictTrial
 		}
 	}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -37,58 +38,62 @@
 	VerdictQuarantined
 )
 
-// QuarantineEntry is the record of one fingerprint that instances exchange.
-// ValidFor is relative because the clocks of instances may differ.
-type QuarantineEntry struct {
+// CrashEvidence is what speaks against one content of requests, or against one part that
+// prompts share, in the form in which groups and instances exchange it. ValidFor is relative
+// because the clocks of instances may differ.
+//
+// Evidence is a set of facts: each says that a target crashed while it ran a request with the
+// content or part. Copies are joined, in any order and any number of times, and a join never
+// loses or repeats a fact. Only a success takes facts out of account: those that were known
+// when the request was served or, for a part, began to receive its response. They stay in
+// memory as known, so that late copies do not bring them back. Verdicts are computed from the
+// facts in account and are neither stored nor sent.
+type CrashEvidence struct {
+	// Fingerprint identifies the content, or the part if Part is set.
 	Fingerprint uint64
+	Part        bool
 	ValidFor    time.Duration
-	// CrashedTargets lists the last targets that crashed while they ran the request, since
-	// it was last served.
+	// CrashedTargets lists the last targets that crashed, those in account.
 	CrashedTargets []string
-	// Crashes counts those of which each was known before the request was granted again; 0
+	// Crashes counts those of which each was known before a request was granted again; 0
 	// stands for all of them.
 	Crashes int
 	// Begun is set if the request had begun to receive its response on each of them.
 	Begun bool
-	// Served states that the request was served after these crashes, so that they are no
-	// evidence against it.
+	// Served states that the request was served after these crashes, so that they are not in
+	// account.
 	Served bool
-	// Part is set if Fingerprint identifies a shared part of prompts. Crashes then counts
-	// the crashes since a request with the part last began, and Companions are other parts
-	// of the prompt of the last one.
-	Part       bool
+	// Companions are other parts of the prompt of the last request, for a part.
 	Companions []uint64
 }
 
-// Quarantine records the fingerprints of requests that ran on targets that
-// crashed. It is not safe for concurrent use.
+// Quarantine holds the crash evidence that a group or an instance knows. It is not safe for
+// concurrent use.
 type Quarantine struct {
-	records map[uint64]*quarantineRecord
+	records map[uint64]*record
 	// parts holds the records of shared parts of prompts.
-	parts map[uint64]*partRecord
+	parts map[uint64]*record
 }
 
-type quarantineRecord struct {
-	// known lists the last targets that crashed under the request, including those before
-	// the last success, so that a late entry from a peer does not count again.
-	known []string
-	// crashed lists those since the request was last served. Sound requests with the same
-	// content are served in between, a request that crashes targets is not.
-	crashed []string
-	// crashes counts the crashes of crashed of which each was known before the request was
-	// granted again.
-	crashes int
-	// counted is when a crash was last counted.
-	counted, until time.Time
-	// begun is set if the request had begun to receive its response before each of these
-	// crashes. A request that crashes targets mostly does so before, so one such crash
+// record is the evidence against one content or part.
+type record struct {
+	// known lists the last targets that crashed, crashed those in account.
+	known, crashed []string
+	// crashes is CrashEvidence.Crashes, begun is CrashEvidence.Begun. A request that crashes
+	// targets mostly does so before it begins to receive its response, so one crash after that
 	// makes no suspect.
-	begun bool
+	crashes int
+	begun   bool
+	// companions is CrashEvidence.Companions. Until one of them has been cleared, any of them
+	// may be the cause.
+	companions []uint64
+	// counted is when crashes last grew, last when a fact was last added.
+	counted, last, until time.Time
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{records: make(map[uint64]*quarantineRecord), parts: make(map[uint64]*partRecord)}
+	return &Quarantine{records: make(map[uint64]*record), parts: make(map[uint64]*record)}
 }
 
 // RecordCrash records that the target crashed while it ran the request; begun states
@@ -105,20 +110,20 @@
 			crashes++
 		}
 	}
-	return q.add(now, QuarantineEntry{
+	return q.add(now, CrashEvidence{
 		Fingerprint: fingerprint, ValidFor: SuspectDuration, CrashedTargets: []string{target}, Crashes: crashes, Begun: begun,
 	})
 }
 
 // RecordSuccess clears a suspect that a target served. A quarantined fingerprint
 // stays quarantined. RecordSuccess returns the entry for the peers if crashes were counted.
-func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) (QuarantineEntry, bool) {
+func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) (CrashEvidence, bool) {
 	r, ok := q.records[fingerprint]
 	if !ok || r.crashes == 0 || q.verdict(now, r) == VerdictQuarantined {
-		return QuarantineEntry{}, false
+		return CrashEvidence{}, false
 	}
-	r.crashes, r.crashed = 0, nil
-	return QuarantineEntry{Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.known), Served: true}, true
+	r.clear()
+	return CrashEvidence{Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.known), Served: true}, true
 }
 
 // Verdict returns the treatment of a fingerprint and the time for which it holds.
@@ -135,7 +140,7 @@
 }
 
 // Merge adds the entries of other instances and reports whether a record changed.
-func (q *Quarantine) Merge(now time.Time, entries []QuarantineEntry) bool {
+func (q *Quarantine) Merge(now time.Time, entries []CrashEvidence) bool {
 	changed := false
 	for _, e := range entries {
 		e.ValidFor = min(e.ValidFor, QuarantineDuration)
@@ -146,47 +151,49 @@
 	return changed
 }
 
-// Entries returns the records in force, sorted by fingerprint.
-func (q *Quarantine) Entries(now time.Time) []QuarantineEntry {
-	entries := q.partEntries(now)
-	for fingerprint, r := range q.records {
-		if r.crashes == 0 || !now.Before(r.until) {
-			continue
+// Entries returns the evidence in account, sorted by fingerprint.
+func (q *Quarantine) Entries(now time.Time) []CrashEvidence {
+	var entries []CrashEvidence
+	for _, isPart := range []bool{false, true} {
+		for fingerprint, r := range q.recordsOf(isPart) {
+			if r.crashes == 0 || !now.Before(r.until) {
+				continue
+			}
+			entries = append(entries, CrashEvidence{
+				Fingerprint: fingerprint, Part: isPart, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed),
+				Crashes: r.crashes, Begun: r.begun, Companions: r.companions,
+			})
 		}
-		entries = append(entries, QuarantineEntry{
-			Fingerprint: fingerprint, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed), Crashes: r.crashes, Begun: r.begun,
-		})
 	}
-	slices.SortFunc(entries, func(a, b QuarantineEntry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(entries, func(a, b CrashEvidence) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return entries
 }
 
+func (q *Quarantine) recordsOf(isPart bool) map[uint64]*record {
+	if isPart {
+		return q.parts
+	}
+	return q.records
+}
+
 // Expire deletes the records whose validity has ended.
 func (q *Quarantine) Expire(now time.Time) {
-	for fingerprint, r := range q.records {
-		if !now.Before(r.until) {
-			delete(q.records, fingerprint)
-		}
-	}
-	for part, r := range q.parts {
-		if !now.Before(r.until) {
-			delete(q.parts, part)
-		}
-	}
+	expired := func(_ uint64, r *record) bool { return !now.Before(r.until) }
+	maps.DeleteFunc(q.records, expired)
+	maps.DeleteFunc(q.parts, expired)
 }
 
-func (q *Quarantine) add(now time.Time, e QuarantineEntry) bool {
-	if e.Fingerprint == 0 || e.ValidFor <= 0 || len(e.CrashedTargets) == 0 {
+// add joins evidence and reports whether that changed a record.
+func (q *Quarantine) add(now time.Time, e CrashEvidence) bool {
+	if e.Fingerprint == 0 && !e.Part || e.ValidFor <= 0 || len(e.CrashedTargets) == 0 {
 		return false
 	}
-	if e.Part {
-		return q.addPart(now, e)
-	}
-	r, ok := q.records[e.Fingerprint]
+	records := q.recordsOf(e.Part)
+	r, ok := records[e.Fingerprint]
 	if !ok || !now.Before(r.until) {
-		q.evictIfFull(now)
-		r = &quarantineRecord{}
-		q.records[e.Fingerprint] = r
+		evictIfFull(records, now)
+		r = &record{}
+		records[e.Fingerprint] = r
 	}
 	if e.Served {
 		r.until = later(r.until, now.Add(e.ValidFor))
@@ -206,12 +213,16 @@
 	}
 	r.known = lastTargets(append(r.known, unseen...))
 	r.crashed = lastTargets(append(r.crashed, unseen...))
-	r.until = later(r.until, now.Add(e.ValidFor))
+	r.companions = slices.Clone(e.Companions[:min(len(e.Companions), maxPartCompanions)])
+	r.last, r.until = now, later(r.until, now.Add(e.ValidFor))
 	return true
 }
 
+// clear takes all facts out of account.
+func (r *record) clear() { r.crashes, r.crashed = 0, nil }
+
 // serve applies the entry of a peer whose target served the request after some crashes.
-func (r *quarantineRecord) serve(e QuarantineEntry) bool {
+func (r *record) serve(e CrashEvidence) bool {
 	r.known = lastTargets(append(r.known, unseenTargets(r.known, e.CrashedTargets)...))
 	left := unseenTargets(e.CrashedTargets, r.crashed)
 	if len(left) == len(r.crashed) {
@@ -235,25 +246,27 @@
 // lastTargets returns the targets that a record keeps.
 func lastTargets(targets []string) []string { return targets[max(0, len(targets)-maxRecordTargets):] }
 
-func (q *Quarantine) evictIfFull(now time.Time) {
-	if len(q.records) < maxQuarantineRecords {
+// evictIfFull makes room for a record: it deletes the expired ones or the one that expires
+// first.
+func evictIfFull(records map[uint64]*record, now time.Time) {
+	if len(records) < maxQuarantineRecords {
 		return
 	}
-	q.Expire(now)
-	if len(q.records) < maxQuarantineRecords {
+	maps.DeleteFunc(records, func(_ uint64, r *record) bool { return !now.Before(r.until) })
+	if len(records) < maxQuarantineRecords {
 		return
 	}
 	var first uint64
 	var until time.Time
-	for fingerprint, r := range q.records {
+	for fingerprint, r := range records {
 		if until.IsZero() || r.until.Before(until) || (r.until.Equal(until) && fingerprint < first) {
 			first, until = fingerprint, r.until
 		}
 	}
-	delete(q.records, first)
+	delete(records, first)
 }
 
-func (q *Quarantine) verdict(now time.Time, r *quarantineRecord) Verdict {
+func (q *Quarantine) verdict(now time.Time, r *record) Verdict {
 	switch {
 	case !now.Before(r.until), r.crashes == 0:
 		return VerdictClean
@@ -269,7 +282,7 @@
 // more of them, so that a sound request whose content many callers send is not blamed for
 // it. If both have crashed the same two targets, either may be the cause, and the next
 // crash tells.
-func (q *Quarantine) isExplained(now time.Time, r *quarantineRecord) bool {
+func (q *Quarantine) isExplained(now time.Time, r *record) bool {
 	for _, other := range q.records {
 		if other == r || !now.Before(other.until) || len(unseenTargets(other.crashed, r.crashed)) > 0 {
 			continue
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -49,7 +49,7 @@
 			case word == "served":
 				q.RecordSuccess(now, 7)
 			case isPeer:
-				q.Merge(now, []QuarantineEntry{{Fingerprint: 7, ValidFor: 100 * time.Hour, CrashedTargets: []string{peer}}})
+				q.Merge(now, []CrashEvidence{{Fingerprint: 7, ValidFor: 100 * time.Hour, CrashedTargets: []string{peer}}})
 			default:
 				q.RecordCrash(now, 7, word, false, now)
 			}
@@ -126,8 +126,8 @@
 // Guards against an instance that does not hear that a request was served after crashes at
 // its targets, and against one that forgets later crashes with them.
 func TestServedEntriesClearEarlierCrashes(t *testing.T) {
-	served := func(targets ...string) []QuarantineEntry {
-		return []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: targets, Served: true}}
+	served := func(targets ...string) []CrashEvidence {
+		return []CrashEvidence{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: targets, Served: true}}
 	}
 	q := NewQuarantine()
 	require.False(t, q.Merge(t0, served("z")))
@@ -141,7 +141,7 @@
 	require.Equal(t, VerdictSuspect, verdict, "crash b remains")
 	require.True(t, q.Merge(t0, served("a", "b")))
 	require.Empty(t, q.Entries(t0))
-	require.False(t, q.Merge(t0, []QuarantineEntry{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"a", "b", "z"}}}), "late entry")
+	require.False(t, q.Merge(t0, []CrashEvidence{{Fingerprint: 7, ValidFor: time.Minute, CrashedTargets: []string{"a", "b", "z"}}}), "late entry")
 }
 
 // Guards against a request that crashes targets unseen because its callers leave before the
@@ -154,7 +154,7 @@
 		g.Complete(now, ended(other, ResultTargetCrashed))
 	}
 	heard := func(g *Group, now time.Time) {
-		g.SetQuarantined(now, []QuarantineEntry{{Fingerprint: other, ValidFor: time.Minute, CrashedTargets: []string{"a"}, Crashes: 1}})
+		g.SetQuarantined(now, []CrashEvidence{{Fingerprint: other, ValidFor: time.Minute, CrashedTargets: []string{"a"}, Crashes: 1}})
 	}
 	for name, c := range map[string]struct {
 		crash func(*Group, time.Time)
--- a/test/fuzz/broker_test.go
+++ b/test/fuzz/broker_test.go
@@ -28,8 +28,8 @@
 	EntryDisconnected(now time.Time, instance string, incarnation uint64)
 	ObserveLoad(now time.Time, r scheduler.LoadReport)
 	SetTargets(now time.Time, targets []scheduler.Target) []scheduler.Decision
-	SetQuarantined(now time.Time, entries []scheduler.QuarantineEntry) []scheduler.Decision
-	Quarantined(now time.Time) []scheduler.QuarantineEntry
+	SetQuarantined(now time.Time, entries []scheduler.CrashEvidence) []scheduler.Decision
+	Quarantined(now time.Time) []scheduler.CrashEvidence
 	AcceptFloor(now time.Time, shard int, highest scheduler.Rank, valid time.Duration) []scheduler.Decision
 	FloorAcked(now time.Time, shard int, highest scheduler.Rank, valid time.Duration) []scheduler.Decision
 	SetSiblingReachable(now time.Time, shard int, reachable bool) []scheduler.Decision
@@ -163,9 +163,9 @@
 }
 
 func (b *brokerRole) setQuarantined(now time.Time, facts []membership.Quarantine) {
-	entries := make([]scheduler.QuarantineEntry, 0, len(facts))
+	entries := make([]scheduler.CrashEvidence, 0, len(facts))
 	for _, q := range facts {
-		entries = append(entries, scheduler.QuarantineEntry{Fingerprint: q.Fingerprint, ValidFor: q.Expires.Sub(now), CrashedTargets: q.CrashedTargets})
+		entries = append(entries, scheduler.CrashEvidence{Fingerprint: q.Fingerprint, ValidFor: q.Expires.Sub(now), CrashedTargets: q.CrashedTargets})
 	}
 	b.handleDecisions(b.group.SetQuarantined(now, entries))
 }
