crashrows: crash evidence outlives all instances

Callers saw: a content that crashes targets is refused after its second crash, but taken again after each restart of all instances; it crashed 8 targets in 80 s, 5 of them in attempts sent more than 4 s after the third crash.

Cause: the evidence lived in the memory of processes and in their reports to each other. Ruled out: crashes that do not count because targets have new ids (one crash would then have followed a restart, not two).

Change: each crash is a row of its own in table crashes, written when it is seen, so that the rows of two instances cannot overwrite each other and a repeated write changes nothing. A success removes the rows. A start takes its first configuration, without which all requests are refused, when it has read the evidence from the store or from a peer, or when neither has responded for 3 s. The owner of the duty compares the table with what it knows once a minute and when the store is back. Rows and calls are bounded; a calm instance reads once.

Evidence: TestCrashingRequestIsRefusedAfterARestartOfAllInstances fails before (4 crashes in 4 starts, killed a second after each) and passes (2).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,6 +110,9 @@
 	// instance has no lease on its part of the limits.
 	Instances       *mirror.Table
 	LatestStoreTime func() (time.Duration, bool)
+	// FillCopy adds to the response with a whole table what else a peer that starts needs, and
+	// OnCopy receives such a response. Both may be nil.
+	FillCopy, OnCopy func(*pb.FetchTableResponse)
 	// Authorize adds the instances' key to the header of a call; may be nil.
 	Authorize func(http.Header)
 	Log       *zap.Logger
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -122,13 +122,16 @@
 
 // copyTable applies a peer's copy of a table, or its difference from the version after.
 func (f *Fleet) copyTable(ctx context.Context, client *http.Client, address string, t *mirror.Table, after int64) error {
-	c, members, err := fetch(ctx, client, f.settings.Authorize, address, t.Name(), after)
+	c, response, err := fetch(ctx, client, f.settings.Authorize, address, t.Name(), after)
 	if err != nil {
 		return err
 	}
-	if len(members) > 0 {
+	if members := response.GetMembers(); len(members) > 0 {
 		f.AddMembers(members)
 	}
+	if f.settings.OnCopy != nil && after == 0 {
+		f.settings.OnCopy(response)
+	}
 	if c.Version == 0 {
 		return nil // the peer has no copy yet
 	}
@@ -241,7 +244,7 @@
 }
 
 // fetch fetches a peer's copy of a table, or its difference from the version after.
-func fetch(ctx context.Context, client *http.Client, authorize func(http.Header), address, table string, after int64) (mirror.PeerCopy, []*pb.FleetMember, error) {
+func fetch(ctx context.Context, client *http.Client, authorize func(http.Header), address, table string, after int64) (mirror.PeerCopy, *pb.FetchTableResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	peer := basilloomv1connect.NewFleetServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxTableBytes))
@@ -261,7 +264,7 @@
 	if m.GetSinceRecoveryMs() > 0 {
 		c.RecoveredAt = time.Now().Add(-time.Duration(m.GetSinceRecoveryMs()) * time.Millisecond)
 	}
-	return c, m.GetMembers(), nil
+	return c, m, nil
 }
 
 // Handler serves this instance's copies of the tables to its peers.
@@ -279,6 +282,9 @@
 	response := &pb.FetchTableResponse{}
 	if r.Msg.GetAfter() == 0 {
 		response.Members = s.fleet.Members()
+		if s.fleet.settings.FillCopy != nil {
+			s.fleet.settings.FillCopy(response)
+		}
 	}
 	for _, t := range s.fleet.settings.Tables {
 		if t.Name() != r.Msg.GetTable() {
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -9,6 +10,8 @@
 
 	"go.uber.org/zap"
 
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/internal/crashrows"
 	"github.com/basilloom/basilloom/scheduler"
 	"github.com/basilloom/basilloom/telemetry/field"
 )
@@ -37,8 +40,14 @@
 	fromGroup crashSource = iota
 	// fromPeer records have been sent to all peers by the instance that made them.
 	fromPeer
+	// fromStore records are known to each instance that has read the store since.
+	fromStore
 )
 
+// reconcilePeriod is the interval at which the owner of the duty compares the stored crash
+// evidence with what it knows. It does so as well when the store is back.
+const reconcilePeriod = time.Minute
+
 // applyCrashes adds records of requests that crash targets and passes changes to the
 // groups.
 func (i *Instance) applyCrashes(entries []scheduler.CrashEvidence, source crashSource) {
@@ -50,6 +59,9 @@
 	quarantined := i.crashes.entries(now)
 	i.log.Warn("crash records updated", zap.Int(field.CrashRecords, len(quarantined)))
 	for _, e := range changed {
+		if source == fromGroup {
+			i.storeCrashes(e)
+		}
 		if e.Served {
 			quarantined = append(quarantined, e)
 			i.log.Info("crash record cleared, a request with equal content was served", zap.Uint64(field.Fingerprint, e.Fingerprint),
@@ -68,11 +80,98 @@
 	i.local.SetQuarantined(quarantined)
 }
 
+// storeCrashes writes to the store what a group has learned.
+func (i *Instance) storeCrashes(e scheduler.CrashEvidence) {
+	if e.Served {
+		i.crashRows.Remove(e.Part, e.Fingerprint, e.CrashedTargets)
+		return
+	}
+	i.crashRows.Add(e)
+}
+
+// crashesKnown reports whether the crash evidence has been read since the start.
+func (i *Instance) crashesKnown() bool {
+	select {
+	case <-i.crashRows.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// reconcileCrashes compares the stored crash evidence with what is known here if that is the
+// duty of this instance.
+func (i *Instance) reconcileCrashes(ctx context.Context) {
+	ticker := time.NewTicker(rowsPeriod)
+	defer ticker.Stop()
+	reconciled := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			isBack := i.operator.LastRecovery().After(reconciled) && !i.operator.StoreUnavailable()
+			if now.Sub(reconciled) < reconcilePeriod && !isBack || !i.ownsDuty(crashrows.TableName, now) {
+				continue
+			}
+			if err := i.crashRows.Reconcile(ctx, i.crashes.entries(now)); err != nil {
+				i.log.Info("crash evidence not compared with the store", zap.Error(err))
+				continue
+			}
+			reconciled = now
+		}
+	}
+}
+
+// fillCopy adds the crash evidence to the whole copy of a table for a peer.
+func (i *Instance) fillCopy(response *pb.FetchTableResponse) {
+	if !i.crashesKnown() {
+		return
+	}
+	response.HasCrashes = true
+	for _, e := range i.crashes.entries(time.Now()) {
+		record := crashRecord(e)
+		record.AgeMs = uint32(e.Age.Milliseconds())
+		response.Crashes = append(response.Crashes, record)
+	}
+}
+
+// applyCopy takes the crash evidence that came with a peer's whole copy of a table.
+func (i *Instance) applyCopy(response *pb.FetchTableResponse) {
+	if !response.GetHasCrashes() {
+		return
+	}
+	i.applyCrashes(crashEvidence(response.GetCrashes()), fromPeer)
+	i.crashRows.ReadFromPeer()
+}
+
+func crashRecord(e scheduler.CrashEvidence) *pb.CrashRecord {
+	return &pb.CrashRecord{
+		Fingerprint: e.Fingerprint, ValidMs: uint32(e.ValidFor.Milliseconds()), Died: e.CrashedTargets, Begun: e.Begun,
+		Part: e.Part, Crashes: uint32(e.Crashes), Companions: e.Companions,
+	}
+}
+
+func crashEvidence(records []*pb.CrashRecord) []scheduler.CrashEvidence {
+	entries := make([]scheduler.CrashEvidence, 0, len(records))
+	for _, c := range records {
+		entries = append(entries, scheduler.CrashEvidence{
+			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(), Begun: c.GetBegun(),
+			Part: c.GetPart(), Crashes: int(c.GetCrashes()), Companions: c.GetCompanions(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return entries
+}
+
 // partsBegun clears parts of prompts of which a request has begun to receive its response.
 func (i *Instance) partsBegun(parts []uint64) {
-	if !i.crashes.partsBegun(time.Now(), parts) {
+	cleared := i.crashes.partsBegun(time.Now(), parts)
+	if len(cleared) == 0 {
 		return
 	}
+	for part, targets := range cleared {
+		i.crashRows.Remove(true, part, targets)
+	}
 	i.log.Info("prompt parts cleared", zap.Uint64s(field.SharedParts, parts))
 	i.shared.PartsBegun(parts)
 	i.local.PartsBegun(parts)
@@ -114,7 +213,7 @@
 		}
 		changed = append(changed, e)
 		switch {
-		case source == fromPeer:
+		case source != fromGroup:
 		case e.Served:
 			c.served = append(c.served, servedContent{e, newRecordReports})
 		case !e.Begun:
@@ -124,13 +223,16 @@
 	return changed
 }
 
-// partsBegun clears parts and reports whether crashes were counted for one of them.
-func (c *crashes) partsBegun(now time.Time, parts []uint64) bool {
+// partsBegun clears parts and returns the crashed targets of those for which crashes were
+// counted.
+func (c *crashes) partsBegun(now time.Time, parts []uint64) map[uint64][]string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cleared := false
+	cleared := make(map[uint64][]string)
 	for _, part := range parts {
-		cleared = c.records.RecordPartBegun(now, part) || cleared
+		if c.records.RecordPartBegun(now, part) {
+			cleared[part] = c.records.Known(part, true)
+		}
 	}
 	return cleared
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/basilloom/basilloom/fleet"
 	"github.com/basilloom/basilloom/forward"
 	"github.com/basilloom/basilloom/gateway"
+	"github.com/basilloom/basilloom/internal/crashrows"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/peer"
 	"github.com/basilloom/basilloom/platform"
@@ -71,6 +72,7 @@
 	peers         *peer.Pool
 	peerServer    *http.Server
 	crashes       *crashes
+	crashRows     *crashrows.Table
 	tracker       *rollout.Tracker
 	orderStatus   orderStatus
 	registered    atomic.Bool // this instance's row has been written
@@ -116,6 +118,10 @@
 	i.instances = mirror.NewTable(tableInstances, i.store, log)
 	i.targets = newTargetList(log)
 	i.crashes = newCrashes()
+	i.crashRows = crashrows.New(crashrows.Settings{
+		Store: i.store, Instances: func() int { return i.fleet.Size() }, Log: log,
+		OnRead: func(entries []scheduler.CrashEvidence) { i.applyCrashes(entries, fromStore) },
+	})
 	i.groups = &gateway.Groups{Links: zoneLinks(settings.Regions), Overload: settings.Overload,
 		Spill: scheduler.SpillConfig{MinDelay: settings.SpillMinDelay, Regions: settings.Regions},
 	}
@@ -141,7 +147,8 @@
 	i.fleet, err = fleet.New(fleet.Settings{
 		Self: settings.Instance, Incarnation: i.incarnation, Zone: settings.Zone, Address: settings.Peers, Seeds: settings.Seeds,
 		MilliCores: settings.MilliCores, Tables: []*mirror.Table{i.operator, i.registry, i.instances}, FillReport: i.fillReport, OnReport: i.applyReport,
-		Authorize: key.Authorize, Instances: i.instances, LatestStoreTime: i.store.LatestNow, Log: log,
+		Authorize: key.Authorize, Instances: i.instances, LatestStoreTime: i.store.LatestNow,
+		FillCopy: i.fillCopy, OnCopy: i.applyCopy, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -186,6 +193,8 @@
 	running.Go(func() { i.operator.Run(i.runCtx) })
 	running.Go(func() { i.registry.Run(i.runCtx) })
 	running.Go(func() { i.instances.Run(i.runCtx) })
+	running.Go(func() { i.crashRows.Run(i.runCtx) })
+	running.Go(func() { i.reconcileCrashes(i.runCtx) })
 	running.Go(func() { i.watchTables(i.runCtx) })
 	running.Go(func() { i.fleet.Run(i.runCtx) })
 	running.Go(func() { i.register(i.runCtx) })
@@ -232,12 +241,18 @@
 	ticker := time.NewTicker(loadPeriod)
 	defer ticker.Stop()
 	var refreshed time.Time
+	crashesKnown := i.crashRows.Ready()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-i.operator.Changed():
 			i.applyConfig()
+		case <-crashesKnown:
+			crashesKnown = nil
+			if i.operator.Current() != nil {
+				i.applyConfig()
+			}
 		case <-i.registry.Changed():
 			i.applyTargets()
 		case <-i.instances.Changed():
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -87,10 +87,7 @@
 	m.StatusUnavailable = i.orderStatus.isUnavailable()
 	m.ZoneDelays = i.delaysForReport(m, now)
 	for _, c := range i.crashes.forReport(now) {
-		m.Crashes = append(m.Crashes, &pb.CrashRecord{
-			Fingerprint: c.Fingerprint, ValidMs: uint32(c.ValidFor.Milliseconds()), Died: c.CrashedTargets, Begun: c.Begun,
-			Part: c.Part, Crashes: uint32(c.Crashes), Companions: c.Companions,
-		})
+		m.Crashes = append(m.Crashes, crashRecord(c))
 	}
 	for _, c := range i.crashes.servedForReport() {
 		m.ServedContents = append(m.ServedContents, &pb.ServedContent{Fingerprint: c.Fingerprint, Targets: c.CrashedTargets})
@@ -113,13 +110,7 @@
 	i.tracker.SetPeer(m.GetInstance(), m.GetIncarnation(), m.GetVersions())
 	i.applyPhases(m.GetPhases(), time.Now())
 	i.applyDelays(m, time.Now())
-	entries := make([]scheduler.CrashEvidence, 0, len(m.GetCrashes()))
-	for _, c := range m.GetCrashes() {
-		entries = append(entries, scheduler.CrashEvidence{
-			Fingerprint: c.GetFingerprint(), ValidFor: time.Duration(c.GetValidMs()) * time.Millisecond, CrashedTargets: c.GetDied(), Begun: c.GetBegun(),
-			Part: c.GetPart(), Crashes: int(c.GetCrashes()), Companions: c.GetCompanions(),
-		})
-	}
+	entries := crashEvidence(m.GetCrashes())
 	for _, c := range m.GetServedContents() {
 		entries = append(entries, scheduler.CrashEvidence{
 			Fingerprint: c.GetFingerprint(), ValidFor: scheduler.SuspectDuration, CrashedTargets: c.GetTargets(), Served: true,
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -264,3 +264,24 @@
 	require.GreaterOrEqual(t, share(&modest), all/4, "the required bound")
 	t.Logf("flood %d of %d, modest %d of %d", flood.served.Load(), flood.sent.Load(), modest.served.Load(), modest.sent.Load())
 }
+
+// Guards against a content that crashes workers again after each restart of all instances,
+// which are killed a second after any one crash.
+func TestCrashingRequestIsRefusedAfterARestartOfAllInstances(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	var crashed atomic.Int64
+	for k := range 6 {
+		env.crashingWorker(fmt.Sprintf("w-%d", k), &crashed)
+	}
+	env.configure(testRoutes(), []string{testKey}, 0)
+	for range 4 {
+		n := env.start("i1")
+		// Not idempotent, so that one attempt crashes one worker.
+		got := n.call(t, http.MethodPost, "/quick/poison", "same body", nil)
+		require.NotEqual(t, http.StatusOK, got.status)
+		time.Sleep(time.Second)
+		n.kill()
+	}
+	require.Equal(t, int64(2), crashed.Load(), "refused after the second crash")
+}
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -50,8 +50,7 @@
 			i.restoreOwnRow(ctx, rows)
 			storeNow, _ := i.store.LatestNow()
 			due := i.fleet.DueRows(now, storeNow)
-			reachesStore := func(r *pb.FleetReport) bool { return !r.GetStatusUnavailable() }
-			if owner, _ := i.fleet.Owner(tableInstances, reachesStore, now); owner != i.settings.Load().Instance {
+			if !i.ownsDuty(tableInstances, now) {
 				continue
 			}
 			for _, change := range due {
@@ -72,6 +71,14 @@
 	}
 }
 
+// ownsDuty reports whether this instance has the duty for a table: one of those that reach the
+// store.
+func (i *Instance) ownsDuty(table string, now time.Time) bool {
+	reachesStore := func(r *pb.FleetReport) bool { return !r.GetStatusUnavailable() }
+	owner, _ := i.fleet.Owner(table, reachesStore, now)
+	return owner == i.settings.Load().Instance
+}
+
 func updateRow(ctx context.Context, rows storage.Table, change fleet.RowChange) error {
 	key := storage.Key{Sort: change.Row.Member.GetInstance()}
 	if change.Next == nil {
--- a/internal/instance/tables.go
+++ b/internal/instance/tables.go
@@ -20,8 +20,8 @@
 	i.applyOrders(snapshot)
 	i.applyEvacuations()
 	row, ok := snapshot.Rows[platform.KeyConfig]
-	if !ok {
-		return
+	if !ok || !i.crashesKnown() {
+		return // without a configuration all requests are refused
 	}
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -53,6 +53,8 @@
 	Fingerprint uint64
 	Part        bool
 	ValidFor    time.Duration
+	// Age is the time since the last crash.
+	Age time.Duration
 	// CrashedTargets lists the last targets that crashed, those in account.
 	CrashedTargets []string
 	// Crashes counts those of which each was known before a request was granted again; 0
@@ -151,6 +153,14 @@
 	return changed
 }
 
+// Known returns the last targets that crashed under a content or part, in account or not.
+func (q *Quarantine) Known(fingerprint uint64, isPart bool) []string {
+	if r, ok := q.recordsOf(isPart)[fingerprint]; ok {
+		return slices.Clone(r.known)
+	}
+	return nil
+}
+
 // Entries returns the evidence in account, sorted by fingerprint.
 func (q *Quarantine) Entries(now time.Time) []CrashEvidence {
 	var entries []CrashEvidence
@@ -160,7 +170,7 @@
 				continue
 			}
 			entries = append(entries, CrashEvidence{
-				Fingerprint: fingerprint, Part: isPart, ValidFor: r.until.Sub(now), CrashedTargets: slices.Clone(r.crashed),
+				Fingerprint: fingerprint, Part: isPart, ValidFor: r.until.Sub(now), Age: max(0, now.Sub(r.last)), CrashedTargets: slices.Clone(r.crashed),
 				Crashes: r.crashes, Begun: r.begun, Companions: r.companions,
 			})
 		}
@@ -208,13 +218,14 @@
 		return false
 	}
 	r.begun = e.Begun && (r.begun || r.crashes == 0)
+	at := now.Add(-e.Age)
 	if crashes > r.crashes {
-		r.crashes, r.counted = crashes, now
+		r.crashes, r.counted = crashes, later(r.counted, at)
 	}
 	r.known = lastTargets(append(r.known, unseen...))
 	r.crashed = lastTargets(append(r.crashed, unseen...))
 	r.companions = slices.Clone(e.Companions[:min(len(e.Companions), maxPartCompanions)])
-	r.last, r.until = now, later(r.until, now.Add(e.ValidFor))
+	r.last, r.until = later(r.last, at), later(r.until, now.Add(e.ValidFor))
 	return true
 }
 
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -152,6 +152,8 @@
 	Rows = "rows"
 	// Row is the version of the row that the decision used.
 	Row = "row"
+	// Source is where something was read: store, peer or none.
+	Source = "source"
 	// Key is the key of a row.
 	Key = "key"
 	// Version is the version of a table of the store, or of a service in version orders and moves.
