fleet, mirror: one reader of a zone follows the rows of the instances

Change: for this table a zone has one reader. A lease outlasts the loss of a reader: an instance that becomes one asks at once, without a wait, when it has not heard from the store lately.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -166,7 +166,7 @@
 
 // readTables returns the versions of a report whose sender has read the table from the store.
 func readTables(unavailable bool) []*pb.TableVersion {
-	return []*pb.TableVersion{{Table: "op", Changed: 1, StoreUnavailable: unavailable}}
+	return []*pb.TableVersion{{Table: "op", Changed: 1, StoreUnavailable: unavailable}, {Table: "instances", Changed: 1, StoreUnavailable: unavailable}}
 }
 
 // Guards against an availability zone in which every instance reads the store, or none
@@ -175,6 +175,7 @@
 	names := []string{"a", "b", "c", "d", "e", "f"}
 	now := time.Now()
 	var others []string // instances of other zones
+	table := "op"
 	// readers returns the instances of zone z1 that read the store, given what each one's
 	// report says of the store. Instances in stopped send no reports.
 	readers := func(unavailable, stopped map[string]bool) []string {
@@ -185,6 +186,7 @@
 			}
 			f := newFleet(t)
 			f.settings.Self = self
+			f.settings.Instances = mirror.NewTable("instances", nil, zap.NewNop())
 			zones := map[string]string{"far": "z2"}
 			for _, name := range others {
 				zones[name] = "zone of " + name
@@ -197,7 +199,7 @@
 					f.accept(m, now)
 				}
 			}
-			if f.ReadsStore("op", now) {
+			if f.ReadsStore(table, now) {
 				reading = append(reading, self)
 			}
 		}
@@ -210,6 +212,9 @@
 	require.NotContains(t, successors, first[0])
 	refused := readers(map[string]bool{first[0]: true, first[1]: true}, nil)
 	require.Subset(t, refused, append(successors, first...), "refused readers go on trying")
+	table = "instances"
+	require.Len(t, readers(nil, nil), 1, "a lease outlasts the loss of a reader")
+	table = "op"
 	others = []string{"g", "h"}
 	require.Len(t, readers(nil, nil), 1, "four zones have four readers")
 	successor := readers(nil, map[string]bool{first[0]: true, first[1]: true})
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -157,7 +157,11 @@
 			before++
 		}
 	}
-	return before < min(readersPerZone, (minReaders+len(zones)-1)/len(zones))
+	readers := min(readersPerZone, (minReaders+len(zones)-1)/len(zones))
+	if f.settings.Instances != nil && table == f.settings.Instances.Name() {
+		readers = 1 // a lease outlasts the loss of a reader
+	}
+	return before < readers
 }
 
 func readerRank(instance string, milliCores uint32) rank {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -352,8 +352,8 @@
 		return nil
 	}
 	after, wait := t.Version(), watchWait
-	if t.StoreUnavailable() || t.ReadAt() == 0 {
-		wait = 0 // a call that waits tells late that the store responds
+	if t.StoreUnavailable() || t.ReadAt() == 0 || time.Since(t.LastResponse()) > 2*watchWait {
+		wait = 0 // a call that waits tells late that the store responds, or that nothing changed
 	}
 	changes, err := t.source.Watch(ctx, t.name, after, wait)
 	if err == nil || errors.Is(err, ErrCompacted) {
