scheduler: a target is its start; crashes are explained one by one

Callers saw: two contents that crash the same two targets, which are back under their ids, are never refused for good. Each reached the targets 6 to 11 times in 96 s, and 8 to 16% of the sound requests beside them were not served.

Cause: evidence knew a target by its id, so further crashes of the same two targets counted for nothing, and two records with the same two targets explained each other until a next crash that could not be counted. Ruled out: the first alone (one content on two targets is refused before), and successes that clear the records (there are none).

Change: a target's start is part of its identity in crash evidence and in the state of a group, and an instance reports the load of the current start only. Another content explains a crash only if it was on a crashed start where this one was not, and after six crashes without a success nothing explains them.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -222,14 +222,18 @@
 	p.slotsByTarget[s.target.ID][s] = true
 }
 
-// Loads returns the load that this instance has placed on each target.
+// Loads returns the load that this instance has placed on the current start of each target.
 func (p *Placer) Loads() map[string]TargetLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make(map[string]TargetLoad, len(p.slotsByTarget))
 	for id, slots := range p.slotsByTarget {
 		var load TargetLoad
+		current, known := p.Groups.Target(id)
 		for s := range slots {
+			if known && s.target.StartedAtUnixMilli != current.StartedAtUnixMilli {
+				continue
+			}
 			load.Running++
 			promptTokens := s.promptTokens
 			if s.responseStarted {
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -124,6 +124,7 @@
 		settings.Addresses[t.ID] = t.Address
 		settings.Targets = append(settings.Targets, scheduler.Target{
 			Name:                   t.ID,
+			Start:                  t.StartedAtUnixMilli,
 			Region:                 t.Zone,
 			Zone:                   t.Zone,
 			Versions:               []string{t.Version},
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,16 +22,38 @@
 	at  time.Time
 }
 
+// startID identifies a start of a target in crash evidence.
+func (t *Target) startID() string {
+	if t.Start == 0 {
+		return t.Name
+	}
+	return t.Name + "@" + strconv.FormatInt(t.Start, 36)
+}
+
+// targetOfStart returns the target whose current start has the id.
+func (g *Group) targetOfStart(id string) (*targetState, bool) {
+	name := id
+	if at := strings.LastIndexByte(id, '@'); at >= 0 {
+		name = id[:at]
+	}
+	for _, candidate := range []string{name, id} {
+		if s, ok := g.targets[candidate]; ok && s.startID() == id {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
 // recordCrash records a crash of a run's target for the request and its parts.
 func (g *Group) recordCrash(now time.Time, r *run, begun bool) {
 	g.crashRecorded = true
-	g.quarantine.RecordCrash(now, r.ticket.Fingerprint, r.target.Name, begun, r.granted)
+	g.quarantine.RecordCrash(now, r.ticket.Fingerprint, r.target.startID(), begun, r.granted)
 	if begun {
 		return
 	}
 	for k, part := range r.ticket.SharedParts {
 		companions := slices.Delete(slices.Clone(r.ticket.SharedParts), k, k+1)
-		g.quarantine.RecordPartCrash(now, part, r.target.Name, companions, r.granted)
+		g.quarantine.RecordPartCrash(now, part, r.target.startID(), companions, r.granted)
 	}
 }
 
@@ -57,8 +81,8 @@
 		if !g.quarantine.Merge(now, []CrashEvidence{e}) || e.Served {
 			continue
 		}
-		for _, name := range e.CrashedTargets {
-			if s, ok := g.targets[name]; ok {
+		for _, id := range e.CrashedTargets {
+			if s, ok := g.targetOfStart(id); ok {
 				g.recordCancelled(now, s)
 			}
 		}
--- a/scheduler/equal_content_test.go
+++ b/scheduler/equal_content_test.go
@@ -15,8 +15,12 @@
 	hotContent = iota + 1
 	deadlyContent
 	firstOwnContent
+	// contents from firstDeadlyContent on crash targets as deadlyContent does.
+	firstDeadlyContent = 1 << 40
 )
 
+func isDeadly(content uint64) bool { return content == deadlyContent || content >= firstDeadlyContent }
+
 // serviceFleet simulates instances that each place the requests of a plain service by
 // themselves and send each other reports, in virtual time. Requests with deadlyContent
 // crash each target that runs them.
@@ -29,6 +33,11 @@
 	started int
 	next    int
 	runs    map[TicketID]*serviceRun
+	// sameNames is set if targets come back under the names that they had.
+	sameNames bool
+	// sends and ends hold the times at which each deadly content was granted and at which it
+	// crashed a target.
+	sends, ends map[uint64][]time.Time
 	// deadly holds the times at which requests with deadlyContent were granted; crashes
 	// those of the crashes.
 	deadly, crashes []time.Time
@@ -52,7 +61,8 @@
 )
 
 func newServiceFleet(seed uint64, instances, targets int) *serviceFleet {
-	f := &serviceFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: t0, runs: make(map[TicketID]*serviceRun)}
+	f := &serviceFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: t0, runs: make(map[TicketID]*serviceRun),
+		sends: make(map[uint64][]time.Time), ends: make(map[uint64][]time.Time)}
 	for k := range instances {
 		f.groups = append(f.groups, NewGroup(GroupConfig{NoPartRetries: true}, rand.New(rand.NewPCG(seed, uint64(k)))))
 	}
@@ -109,7 +119,18 @@
 
 func (f *serviceFleet) addTarget() {
 	f.started++
-	f.targets = append(f.targets, Target{Name: fmt.Sprint("t", f.started), Concurrency: 6, Service: true})
+	f.targets = append(f.targets, Target{Name: fmt.Sprint("t", f.started), Start: int64(f.started), Concurrency: 6, Service: true})
+	f.setTargets()
+}
+
+// back starts a crashed target again, under its name or another one.
+func (f *serviceFleet) back(name string) {
+	if !f.sameNames {
+		f.addTarget()
+		return
+	}
+	f.started++
+	f.targets = append(f.targets, Target{Name: name, Start: int64(f.started), Concurrency: 6, Service: true})
 	f.setTargets()
 }
 
@@ -160,15 +181,18 @@
 	g.Dispatched(f.now, r.ticket.ID)
 	r.target = target
 	r.sends++
-	if r.ticket.Fingerprint == deadlyContent {
+	content := r.ticket.Fingerprint
+	if isDeadly(content) {
 		f.deadly = append(f.deadly, f.now)
+		f.sends[content] = append(f.sends[content], f.now)
 	}
 	id := r.ticket.ID
 	f.after(serviceTime/2+time.Duration(f.rng.Int64N(int64(serviceTime))), func() {
 		if f.runs[id] == nil || r.ended {
 			return
 		}
-		if r.ticket.Fingerprint == deadlyContent {
+		if isDeadly(content) {
+			f.ends[content] = append(f.ends[content], f.now)
 			f.crash(r.target)
 			return
 		}
@@ -192,7 +216,7 @@
 	for _, name := range names {
 		gone[name] = true
 		f.crashes = append(f.crashes, f.now)
-		f.after(serviceBack, f.addTarget)
+		f.after(serviceBack, func() { f.back(name) })
 	}
 	var left []Target
 	for _, t := range f.targets {
--- a/scheduler/group.go
+++ b/scheduler/group.go
@@ -178,8 +178,14 @@
 
 func (g *Group) setTarget(t Target) {
 	s, ok := g.targets[t.Name]
-	if !ok {
-		s = newTargetState(g.now, t, g.holders)
+	if !ok || s.isEarlierStart(t) {
+		started := newTargetState(g.now, t, g.holders)
+		if ok {
+			// Requests that were sent to the address may reach the new start.
+			started.cold = s.cold
+			g.retire(s)
+		}
+		s = started
 		g.targets[t.Name] = s
 	}
 	g.setColdTimes(s, t)
@@ -194,17 +200,22 @@
 }
 
 func (g *Group) removeTarget(s *targetState) {
+	g.retire(s)
+	g.deleteIfUnused(s)
+}
+
+// retire ends the use of a target's state. Requests that still run on it keep it until they
+// end. The sets are rebuilt after all removals.
+func (g *Group) retire(s *targetState) {
 	s.removed = true
 	s.index.clear()
 	g.release(s)
-	// The sets are rebuilt after all removals.
 	s.refs = nil
-	g.deleteIfUnused(s)
 }
 
 // deleteIfUnused deletes a removed target once nothing runs on it.
 func (g *Group) deleteIfUnused(s *targetState) {
-	if s.removed && s.running == 0 {
+	if s.removed && s.running == 0 && g.targets[s.Name] == s {
 		delete(g.targets, s.Name)
 		g.removedCold[s.Name] = s.cold
 		g.order = slices.DeleteFunc(g.order, func(o *targetState) bool { return o == s })
@@ -340,11 +351,12 @@
 	// The grant was reclaimed while the message was in transit, and the request is
 	// running.
 	delete(g.reclaimed, id)
-	if s, ok := g.targets[r.target.Name]; ok {
-		r.target = s
-	} else {
+	switch s, ok := g.targets[r.target.Name]; {
+	case !ok:
 		g.targets[r.target.Name] = r.target
 		g.sortTargets()
+	case s.Start == r.target.Start:
+		r.target = s
 	}
 	r.dispatched = true
 	g.start(now, r)
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -16,6 +16,9 @@
 	// QuarantineCrashes is the number of different crashed targets, without a success in
 	// between, that quarantines a suspect.
 	QuarantineCrashes = 2
+	// maxExplainedCrashes is the number of crashes without a success in between from which on
+	// no other request explains them. A sound request is mostly served before.
+	maxExplainedCrashes = 3 * QuarantineCrashes
 	// maxRecordTargets bounds a record, and so its size in reports.
 	maxRecordTargets = 6
 	// maxQuarantineRecords bounds the memory. A new record replaces the one that
@@ -42,8 +45,8 @@
 // prompts share, in the form in which groups and instances exchange it. ValidFor is relative
 // because the clocks of instances may differ.
 //
-// Evidence is a set of facts: each says that a target crashed while it ran a request with the
-// content or part. Copies are joined, in any order and any number of times, and a join never
+// Evidence is a set of facts: each says that one start of a target crashed while it ran a
+// request with the content or part. Copies are joined, in any order and any number of times, and a join never
 // loses or repeats a fact. Only a success takes facts out of account: those that were known
 // when the request was served or, for a part, began to receive its response. They stay in
 // memory as known, so that late copies do not bring them back. Verdicts are computed from the
@@ -55,7 +58,7 @@
 	ValidFor    time.Duration
 	// Age is the time since the last crash.
 	Age time.Duration
-	// CrashedTargets lists the last targets that crashed, those in account.
+	// CrashedTargets lists the last starts of targets that crashed, those in account.
 	CrashedTargets []string
 	// Crashes counts those of which each was known before a request was granted again; 0
 	// stands for all of them.
@@ -289,20 +292,31 @@
 	return VerdictSuspect
 }
 
-// isExplained reports whether another request ran on all of the crashed targets and crashed
-// more of them, so that a sound request whose content many callers send is not blamed for
-// it. If both have crashed the same two targets, either may be the cause, and the next
-// crash tells.
+// isExplained reports whether each of the crashes may be due to another request, so that a
+// sound request whose content many callers send is not blamed for what others do. Another
+// request explains a crash of r if it was on the target, too, and on a crashed one where r was
+// not. If two requests have crashed the same two targets, either may be the cause; a suspect
+// runs as the only request on its target, so the next crash tells. Requests that keep crashing
+// the same targets are not explained for ever.
 func (q *Quarantine) isExplained(now time.Time, r *record) bool {
+	if r.crashes >= maxExplainedCrashes {
+		return false
+	}
+	explained := make(map[string]bool, len(r.crashed))
 	for _, other := range q.records {
-		if other == r || !now.Before(other.until) || len(unseenTargets(other.crashed, r.crashed)) > 0 {
+		if other == r || !now.Before(other.until) {
+			continue
+		}
+		elsewhere := len(unseenTargets(r.crashed, other.crashed)) > 0
+		same := len(r.crashed) == QuarantineCrashes && len(unseenTargets(other.crashed, r.crashed)) == 0
+		if !elsewhere && !same {
 			continue
 		}
-		if len(other.crashed) > len(r.crashed) || len(r.crashed) == QuarantineCrashes {
-			return true
+		for _, target := range other.crashed {
+			explained[target] = true
 		}
 	}
-	return false
+	return !slices.ContainsFunc(r.crashed, func(target string) bool { return !explained[target] })
 }
 
 func later(a, b time.Time) time.Time {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -104,6 +104,10 @@
 	return s
 }
 
+// isEarlierStart reports whether t is a later start of the target. The start of an adopted
+// target is not known until it is configured.
+func (s *targetState) isEarlierStart(t Target) bool { return s.Start != t.Start && s.Start != 0 }
+
 // load returns the estimated number of requests on the target.
 func (s *targetState) load(now time.Time) int {
 	if now.Sub(s.reported) > reportValidity {
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -70,7 +70,10 @@
 // Target describes a back end of the group. Speeds are initial estimates that
 // measured speeds replace.
 type Target struct {
-	Name                   string
+	Name string
+	// Start distinguishes two starts of a target with the same name; 0 if unknown. What a
+	// target did before its last start says nothing about it.
+	Start                  int64
 	Region                 string
 	Zone                   string
 	Versions               []string
