fleet: peers that left are forgotten

Cause: since rows decide who is a member, a peer was only removed when the table changed. One that left and ended after its row was removed stayed a member for the reports and for the size of the fleet until the next change.

Change: the check of the rows, once a second, forgets peers that have no row and send no reports.

Result: TestPeersThatLeftAreForgotten fails before (3 members for good) and passes.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -211,8 +211,7 @@
 	return c
 }
 
-// SetRows takes the instances' rows from the store. A peer without a row that sends no
-// reports has left.
+// SetRows takes the instances' rows from the store.
 func (f *Fleet) SetRows(rows []Row, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -235,12 +234,26 @@
 		p.setRow(row, now)
 	}
 	for name, p := range f.peers {
-		if !listed[name] && !f.isCurrent(p, now) && (p.Leaving || now.Sub(p.lastSeen()) > silenceLimit+leaseTime) {
+		if !listed[name] {
+			p.row = rowState{}
+		}
+	}
+	f.removeGoneLocked(now)
+	f.updateScheduleLocked()
+}
+
+// removeGoneLocked removes the peers that have no row and send no reports.
+func (f *Fleet) removeGoneLocked(now time.Time) {
+	before := len(f.peers)
+	for name, p := range f.peers {
+		if p.row.Member == nil && !f.isCurrent(p, now) && (p.Leaving || now.Sub(p.lastSeen()) > silenceLimit+leaseTime) {
 			delete(f.peers, name)
 			f.settings.Log.Info("peer removed because it has no row and sends no reports", zap.String(field.Peer, name))
 		}
 	}
-	f.updateScheduleLocked()
+	if len(f.peers) < before {
+		f.updateScheduleLocked()
+	}
 }
 
 // hasStartedAnew reports whether a row is that of a later start of the peer. Its incarnation
@@ -281,7 +294,8 @@
 	Reason string
 }
 
-// DueRows returns the changes of the peers' rows that are due. storeNow is the latest time
+// DueRows returns the changes of the peers' rows that are due, and forgets the peers that have
+// left. storeNow is the latest time
 // that the store's clock can show.
 func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) []RowChange {
 	f.mu.Lock()
@@ -290,6 +304,9 @@
 		f.silentFrom = now
 	}
 	f.rowsCheckedAt = now
+	if f.settings.Instances != nil && f.settings.Instances.Current() != nil {
+		f.removeGoneLocked(now)
+	}
 	known := f.countLocked(now).known
 	var due []RowChange
 	for _, p := range f.peers {
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -296,6 +296,35 @@
 	}
 }
 
+// Guards against peers that left long ago and still get reports or count as members.
+func TestPeersThatLeftAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeaseFleet(t, 1)
+		defer l.stop()
+		for _, name := range []string{"a", "b", "c"} {
+			l.start(name)
+		}
+		l.run(5*time.Second, "start")
+		require.Equal(t, 3, l.running["a"].Size())
+		l.mu.Lock()
+		l.running["b"].Leave()
+		l.store.write("b", nil, -1)
+		l.mu.Unlock()
+		l.run(100*time.Millisecond, "the row is gone while the peer still sends reports")
+		l.kill("b")
+		l.run(3*time.Second, "left")
+		require.Equal(t, 2, l.running["a"].Size())
+		require.Len(t, l.running["a"].Members(), 2)
+		require.InDelta(t, 1, l.spent(), 1e-9)
+		l.kill("c")
+		l.mu.Lock()
+		l.store.write("c", nil, -1)
+		l.mu.Unlock()
+		l.run(silenceLimit+leaseTime+3*time.Second, "its row is removed without a word")
+		require.Len(t, l.running["a"].Members(), 1)
+	})
+}
+
 // TestPartsInSeriesOfFaults guards against parts of the quotas that are spent twice, by peers
 // that are only cut off, and against parts of lost instances that nobody spends: faults come
 // in series, with less time between them than a part takes to be released.
--- a/fleet/sync_test.go
+++ b/fleet/sync_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +19,7 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 	"github.com/basilloom/basilloom/internal/standin/link"
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
+	"github.com/basilloom/basilloom/internal/standin/rawserver"
 	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/platform"
 )
@@ -191,3 +194,63 @@
 		})
 	}
 }
+
+// Guards against a part of a peer's answer that is taken for a whole one because its connection
+// was closed or reset on the way. Only such answers pass between instances: responses to
+// callers pass through one instance only.
+func TestPartOfAPeersAnswerIsNoAnswer(t *testing.T) {
+	p := startTablePeer(t)
+	for k := range 40 {
+		p.store.Put("op", fmt.Sprint("row-", k), []byte(strings.Repeat("v", k)))
+	}
+	require.Eventually(t, func() bool { return p.table.Current() != nil && len(p.table.Current().Rows) == 41 }, applyTime, time.Millisecond)
+	const whole = 1 << 20
+	var passed atomic.Int64
+	// cut returns the address of a proxy that ends a connection after n bytes of the answer.
+	cut := func(n int64, reset bool) *rawserver.Server {
+		proxy, err := rawserver.Start(func(c *rawserver.Conn) {
+			peer, err := net.Dial("tcp", p.server.Listener.Addr().String())
+			if err != nil {
+				return // the fetch fails
+			}
+			defer func() { _ = peer.Close() }()
+			go func() { _, _ = io.Copy(peer, c.TCPConn) }()
+			k, _ := io.CopyN(c.TCPConn, peer, n)
+			passed.Store(k)
+			if reset {
+				c.Reset()
+				return
+			}
+			c.CloseWrite()
+			c.Drain()
+		})
+		require.NoError(t, err)
+		return proxy
+	}
+	get := func(n int64, reset bool) (mirror.PeerCopy, error) {
+		proxy := cut(n, reset)
+		client := newClient()
+		defer client.CloseIdleConnections()
+		defer proxy.Close()
+		c, _, err := fetch(t.Context(), client, nil, proxy.Address(), "op", 0)
+		return c, err
+	}
+	complete, err := get(whole, false)
+	require.NoError(t, err)
+	require.Len(t, complete.Rows, 41)
+	cuts := 0
+	for n := int64(1); ; n += 29 {
+		for _, reset := range []bool{false, true} {
+			c, err := get(n, reset)
+			if err == nil {
+				require.ElementsMatch(t, complete.Rows, c.Rows, "cut after %d bytes, reset %v", n, reset)
+				continue
+			}
+			cuts++
+		}
+		if passed.Load() < n || n > 4000 {
+			break
+		}
+	}
+	require.Greater(t, cuts, 40)
+}
