mirror, crashrows: two gaps of a store that comes back

Cause: a store that is back from an older copy without an outage that an instance noticed was no recovery: entries of targets that the copy lacks were taken for removed ones at once, and crash evidence was compared only at the next minute. And an instance that had found neither the store nor a peer passed its empty evidence on as the fleet's.

Change: a change of the era counts as a recovery; only evidence that was read is passed on.

--- a/internal/crashrows/crashrows.go
+++ b/internal/crashrows/crashrows.go
@@ -77,6 +77,7 @@
 
 	mu       sync.Mutex
 	isReady  bool
+	hasRead  bool // from the store or a peer
 	pending  map[string]change
 	sequence uint64
 	// written holds until when the rows that this instance has written are in force, by key.
@@ -103,11 +104,26 @@
 func (t *Table) Ready() <-chan struct{} { return t.ready }
 
 // ReadFromPeer records that a peer has sent its evidence.
-func (t *Table) ReadFromPeer() { t.setReady("peer") }
+func (t *Table) ReadFromPeer() { t.setReady(sourcePeer) }
+
+// HasRead reports whether the evidence has been read from the store or a peer.
+func (t *Table) HasRead() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasRead
+}
+
+// Sources of the evidence that a start has read.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+	sourceNone  = "none"
+)
 
 func (t *Table) setReady(source string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.hasRead = t.hasRead || source != sourceNone
 	if !t.isReady {
 		t.isReady = true
 		close(t.ready)
@@ -117,7 +133,7 @@
 
 // Run reads the rows and then writes changes until ctx ends.
 func (t *Table) Run(ctx context.Context) {
-	timeout := time.AfterFunc(maxStartWait, func() { t.setReady("none") })
+	timeout := time.AfterFunc(maxStartWait, func() { t.setReady(sourceNone) })
 	defer timeout.Stop()
 	for retry := minInterval; ctx.Err() == nil; retry = min(2*retry, maxRetry) {
 		if _, err := t.read(ctx); err == nil {
@@ -154,7 +170,7 @@
 	if evidence := t.evidence(rows); len(evidence) > 0 {
 		t.settings.OnRead(evidence)
 	}
-	t.setReady("store")
+	t.setReady(sourceStore)
 	return rows, nil
 }
 
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -125,7 +125,7 @@
 
 // fillCopy adds the crash evidence to the whole copy of a table for a peer.
 func (i *Instance) fillCopy(response *pb.FetchTableResponse) {
-	if !i.crashesKnown() {
+	if !i.crashRows.HasRead() {
 		return
 	}
 	response.HasCrashes = true
--- a/internal/instance/tables_test.go
+++ b/internal/instance/tables_test.go
@@ -101,8 +101,14 @@
 		}
 		return true
 	}, contactTime, 20*time.Millisecond)
+	recent := env.worker("w-0", worker.Always(worker.Serve))
+	require.Eventually(t, has(recent.ID), contactTime, 20*time.Millisecond)
 	env.store.Restore(older)
 	require.Eventually(t, has(served.ID), contactTime, 20*time.Millisecond)
+	for _, n := range nodes {
+		_, ok := n.groups.Target(recent.ID)
+		require.True(t, ok, "its entry is missing until it is written again")
+	}
 	env.worker("w-2", worker.Always(worker.Serve))
 	require.Eventually(t, has("w-2"), contactTime, 20*time.Millisecond)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -173,7 +173,8 @@
 	return 0
 }
 
-// LastRecovery returns when the store last recovered from an outage.
+// LastRecovery returns when the store last recovered from an outage or came back from an
+// older copy.
 func (t *Table) LastRecovery() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -387,6 +388,9 @@
 		return false
 	}
 	first := t.current == nil
+	if !first && !sameEra(t.current.Version, version) {
+		t.recoveredAt = time.Now() // rows may be missing until they are written again
+	}
 	t.current = newSnapshot(rows, version, version)
 	t.signal()
 	return !first
