fleet, instance: read as a newcomer would

Cause: a counter was read by a test only, a loop left by a break in a switch's shadow was hard to follow, and the rows could be written with the store's clock unknown, if an instance had its rows from peers only and its first call to the store was that write.

Change: the counter is gone, the changes of rows are a method of their own, and rows are not changed before the store has responded once.

Result: tests of fleet and the tests of rows in internal/instance pass.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -124,7 +124,7 @@
 
 // Share returns the fraction of the fleet's limits that this instance and its reachable
 // peers may use together. A peer's part is excluded as soon as the peer can no longer
-// own groups, because both sides of a partition spend until then as one.
+// own groups, because both sides of a partition spend the whole limits until then.
 func (f *Fleet) Share(now time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -168,14 +168,16 @@
 // counts are numbers of instances, including this one.
 type counts struct {
 	known, reachable int
-	// reduced instances have only a fraction of their part: their row is marked, or was until
-	// lately.
-	reduced, reachableReduced int
-	// releasedParts is the fraction of the limits that the released instances no longer have.
+	// reachableReduced are the reachable instances that have only a fraction of their part,
+	// because their row is marked or was until lately.
+	reachableReduced int
+	// released are the instances whose part is released, releasedParts the fraction of the
+	// limits that they no longer have.
 	released      int
 	releasedParts float64
 }
 
+// countLocked counts the instances, without those that left.
 func (f *Fleet) countLocked(now time.Time) counts {
 	c := counts{known: 1, reachable: 1}
 	var readAt time.Duration
@@ -195,11 +197,8 @@
 		if p.released() {
 			released = append(released, p)
 		}
-		if p.row.Member.GetSilent() || p.row.Member.GetLeaseFromMs() > readAt.Milliseconds() {
-			c.reduced++
-			if current {
-				c.reachableReduced++
-			}
+		if current && (p.row.Member.GetSilent() || p.row.Member.GetLeaseFromMs() > readAt.Milliseconds()) {
+			c.reachableReduced++
 		}
 	}
 	c.released = len(released)
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -242,8 +242,8 @@
 	now := time.Now()
 	for name, i := range l.running {
 		c := i.countLocked(now)
-		lines = append(lines, fmt.Sprintf("%s: side %d, share %.3f, %d of %d reachable, %d reduced, lease %v from %v, store time %v",
-			name, l.side[name], i.Share(now), c.reachable, c.known, c.reduced, i.lease.held, i.lease.from, l.store.now()))
+		lines = append(lines, fmt.Sprintf("%s: side %d, share %.3f, %d of %d reachable, %d released, lease %v from %v, store time %v",
+			name, l.side[name], i.Share(now), c.reachable, c.known, c.released, i.lease.held, i.lease.from, l.store.now()))
 	}
 	slices.Sort(lines)
 	return strings.Join(lines, "\n")
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -47,30 +47,36 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			i.restoreOwnRow(ctx, rows)
-			storeNow, _ := i.store.LatestNow()
-			due := i.fleet.DueRows(now, storeNow)
-			if !i.ownsDuty(tableInstances, now) {
+			storeNow, known := i.store.LatestNow()
+			if !known {
 				continue
 			}
-			for _, change := range due {
-				peer := zap.String(field.Peer, change.Row.Member.GetInstance())
-				err := updateRow(ctx, rows, change)
-				switch {
-				case errors.Is(err, storage.ErrConflict):
-				case err != nil:
-					i.log.Info("instance row not updated", peer, zap.Error(err))
-				default:
-					i.log.Info(change.Reason, peer)
-				}
-				if err != nil && !errors.Is(err, storage.ErrConflict) {
-					break // the store does not respond
-				}
+			i.restoreOwnRow(ctx, rows)
+			due := i.fleet.DueRows(now, storeNow)
+			if i.ownsDuty(tableInstances, now) {
+				i.changeRows(ctx, rows, due)
 			}
 		}
 	}
 }
 
+// changeRows changes the rows of peers until the store does not respond. A conflict means that
+// another instance has changed the row.
+func (i *Instance) changeRows(ctx context.Context, rows storage.Table, due []fleet.RowChange) {
+	for _, change := range due {
+		peer := zap.String(field.Peer, change.Row.Member.GetInstance())
+		err := updateRow(ctx, rows, change)
+		if errors.Is(err, storage.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			i.log.Info("instance row not updated", peer, zap.Error(err))
+			return
+		}
+		i.log.Info(change.Reason, peer)
+	}
+}
+
 // ownsDuty reports whether this instance has the duty for a table: one of those that reach the
 // store.
 func (i *Instance) ownsDuty(table string, now time.Time) bool {
