mirror: only the table of instances asks for its read time at once

Cause: every table made one more call at the start, to know the time of its first reading; two of three do not need it.

Change: the fleet asks for it for the table of instances.

Result: tests of fleet, mirror and of rows and quotas in internal/instance pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -167,6 +167,9 @@
 	}
 	f.write = f.writeDatagram
 	f.updateScheduleLocked()
+	if settings.Instances != nil {
+		settings.Instances.SetNeedsReadAt()
+	}
 	for _, t := range settings.Tables {
 		t.SetReads(func() bool { return f.ReadsStore(t.Name(), time.Now()) })
 		t.SetOnStoreChange(func() {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -121,6 +121,8 @@
 	changed chan struct{}
 	// reads reports whether this instance reads the store or relies on peers that do.
 	reads func() bool
+	// needsReadAt is set if ReadAt is to be known soon after the first read.
+	needsReadAt bool
 	// onStoreChange is called after a change that the store's feed delivered; may be nil.
 	onStoreChange func()
 
@@ -147,6 +149,10 @@
 // called before Run.
 func (t *Table) SetReads(reads func() bool) { t.reads = reads }
 
+// SetNeedsReadAt makes the table ask for its first ReadAt at once, which takes a call. It must
+// be called before Run.
+func (t *Table) SetNeedsReadAt() { t.needsReadAt = true }
+
 // SetOnStoreChange sets a function that is called after a change that this instance read
 // from the store. It must be called before Run.
 func (t *Table) SetOnStoreChange(f func()) { t.onStoreChange = f }
@@ -353,7 +359,7 @@
 		return nil
 	}
 	after, wait := t.Version(), watchWait
-	if t.StoreUnavailable() || t.ReadAt() == 0 || time.Since(t.LastResponse()) > 2*watchWait {
+	if t.StoreUnavailable() || t.needsReadAt && t.ReadAt() == 0 || time.Since(t.LastResponse()) > 2*watchWait {
 		wait = 0 // a call that waits tells late that the store responds, or that nothing changed
 	}
 	changes, err := t.source.Watch(ctx, t.name, after, wait)
