rawserver: a connection that is closed with unread data has unread data

The stand-in closed its side 20 ms after its response, whether or not more of the upload had arrived. Without unread data, Linux sends the end of the stream and not a reset: that is the ending "clean, then reset before the upload is read", whose response is whole.

Change: the stand-in waits until unread data is there.

--- a/internal/standin/rawserver/endings.go
+++ b/internal/standin/rawserver/endings.go
@@ -45,6 +45,7 @@
 		if _, err := c.Request(); err == nil {
 			c.Send(response)
 			time.Sleep(Pause)
+			c.AwaitUnread()
 		}
 	}},
 	{Name: "reset after the upload is read", Serve: func(c *Conn, response string) {
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 )
 
 // Server is a running server.
@@ -77,6 +79,19 @@
 	_ = c.Close()
 }
 
+// AwaitUnread waits until the connection holds data that has not been read. Closing it then
+// resets it; without such data it would end cleanly.
+func (c *Conn) AwaitUnread() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return // the connection is closed
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 // CloseWrite ends the responses cleanly. The connection still takes requests.
 func (c *Conn) CloseWrite() { _ = c.TCPConn.CloseWrite() }
 
