fleet: one place adds a listed peer

Cause: the list of a peer and the rows of the store built a Peer with the same six lines each, so that a field kept across a start, as the row is, could be missed in one of them.

Change: addPeerLocked does it for both. Behaviour is unchanged.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -360,14 +360,22 @@
 		if p, ok := f.peers[m.GetInstance()]; ok && p.Incarnation >= m.GetIncarnation() {
 			continue
 		}
-		f.peers[m.GetInstance()] = &Peer{
-			Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Zone: m.GetZone(), DiscoveredAt: now,
-			row: f.rowOfLocked(m.GetInstance()),
-		}
+		f.addPeerLocked(m, now)
 	}
 	f.updateScheduleLocked()
 }
 
+// addPeerLocked adds a listed peer in place of an earlier start of it. What is known of its
+// row is kept.
+func (f *Fleet) addPeerLocked(m *pb.FleetMember, now time.Time) *Peer {
+	p := &Peer{
+		Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Zone: m.GetZone(), DiscoveredAt: now,
+		row: f.rowOfLocked(m.GetInstance()),
+	}
+	f.peers[p.Name] = p
+	return p
+}
+
 // SetSeeds replaces the addresses of instances to contact while no peer is known.
 func (f *Fleet) SetSeeds(seeds []string) {
 	f.mu.Lock()
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -224,11 +224,7 @@
 		listed[name] = true
 		p, ok := f.peers[name]
 		if !ok || f.hasStartedAnew(p, row, now) {
-			p = &Peer{
-				Name: name, Incarnation: row.Member.GetIncarnation(), Address: row.Member.GetAddress(), Zone: row.Member.GetZone(),
-				DiscoveredAt: now, row: f.rowOfLocked(name),
-			}
-			f.peers[name] = p
+			p = f.addPeerLocked(row.Member, now)
 		}
 		p.setRow(row, now)
 	}
