fleet: the log says what the share of the limits is made of

An instance's refusals carry its share, and only a change of the lease was logged. After a loss that says nothing about which parts were missing: the number of reachable, reduced and released instances is now logged with the share at each change, once a second at most.

The share itself is computed as before, by counts.share. Tests of fleet pass.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -41,6 +41,8 @@
 	// hour now and then.
 	keptTime          = 2 * time.Hour
 	releasedRetention = keptTime + 10*time.Minute
+	// shareLogPeriod is the shortest time between two log lines about the share.
+	shareLogPeriod = time.Second
 	// maxRowsCheckGap is the gap between two checks of the rows after which this instance
 	// was paused and has missed its peers' reports.
 	maxRowsCheckGap = 2 * time.Second
@@ -69,6 +71,15 @@
 	// from is the store's clock at the newest reading that showed the own row in good order.
 	from time.Duration
 	held bool
+	// logged is what the share was last logged to be made of, at loggedAt.
+	logged   shareParts
+	loggedAt time.Time
+}
+
+// shareParts are the figures that a share of the limits is made of.
+type shareParts struct {
+	counts
+	held bool
 }
 
 // readAtMs is the time of a table's newest reading for the reports. Only the table of
@@ -136,16 +147,26 @@
 	// Without a lease, a peer that is not heard may have released this instance's part.
 	everyone := c.reachable == c.known
 	held := everyone || leased && age <= leaseTime
-	if held != f.lease.held {
-		f.lease.held = held
-		f.settings.Log.Info("lease on the whole part of the limits", zap.Bool(field.Held, held), zap.Duration(field.LeaseAge, age),
-			zap.Int(field.Reachable, c.reachable), zap.Int(field.Instances, c.known))
+	f.lease.held = held
+	share := c.share(held, leased && age > keptTime)
+	if parts := (shareParts{c, held}); parts != f.lease.logged && now.Sub(f.lease.loggedAt) >= shareLogPeriod {
+		f.lease.logged, f.lease.loggedAt = parts, now
+		f.settings.Log.Info("share of the limits", zap.Float64(field.Share, share), zap.Bool(field.Held, held), zap.Duration(field.LeaseAge, age),
+			zap.Int(field.Instances, c.known), zap.Int(field.Reachable, c.reachable), zap.Int(field.Reduced, c.reachableReduced),
+			zap.Int(field.Released, c.released))
 	}
+	return share
+}
+
+// share returns the fraction of the limits that the reachable instances may use together, with
+// or without a lease. ended is set once the time is over for which an instance without a lease
+// has a part.
+func (c counts) share(held, ended bool) float64 {
 	part := 1 / float64(c.known)
 	switch {
-	case everyone:
+	case c.reachable == c.known:
 		return 1
-	case !held && leased && age > keptTime:
+	case !held && ended:
 		return 0
 	case !held:
 		return keptFraction * part * float64(c.reachable)
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -126,6 +126,11 @@
 	LeaseAge = "lease_age"
 	// Reachable is the number of instances with recent reports, including this one.
 	Reachable = "reachable"
+	// Reduced is the number of reachable instances that have only a fraction of their part of
+	// the quotas.
+	Reduced = "reduced"
+	// Released is the number of instances whose part of the quotas is released.
+	Released = "released"
 	// SinceLastReport is the time since the last report of a peer.
 	SinceLastReport = "silent"
 	// Callers is the address of the listener for callers.
