fleet: an instance that runs seldom still marks the rows of silent peers

What callers saw: nothing measured.

Cause: a gap of more than 2 s between two rounds stands for a pause of the instance, after which all silence counted anew. With a gap before each round it never reached the limit.

Change: silence is measured by a clock of the time that the instance has run, which each report, round and reading of the share advances.

Evidence: TestSilenceCountsInRoundsFarApart fails before (not marked after 20 rounds). The counterweight, TestSilenceDoesNotCountInAPause, holds before and after: an instance that was paused for 10 s does not mark peers that it had heard 1.5 s before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	LastReportAt time.Time
 	// DiscoveredAt is when this incarnation of the peer was discovered.
 	DiscoveredAt time.Time
+	// seenAt is how long this instance had run when it received the last report or, without
+	// one, discovered the peer.
+	seenAt time.Duration
 	// Zone is the peer's availability zone, empty if not known yet.
 	Zone    string
 	Leaving bool
@@ -138,9 +141,8 @@
 	seeds                   []string
 	schedule                schedule
 	lease                   lease
-	// silentFrom is the earliest time from which the silence of peers counts, and
-	// rowsCheckedAt when DueRows was last called.
-	silentFrom, rowsCheckedAt time.Time
+	// clock measures the silence of peers.
+	clock runClock
 	// toRelay holds the reports to pass on within the zone, by instance.
 	toRelay map[string]*pb.RelayedReport
 
@@ -340,6 +342,7 @@
 	}
 	moved := p.Zone != m.GetZone()
 	p.Address, p.Zone, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), m.GetZone(), now, m, m.GetLeaving()
+	p.seenAt = f.clock.observe(now)
 	if !ok || moved {
 		f.updateScheduleLocked()
 	}
@@ -370,7 +373,7 @@
 func (f *Fleet) addPeerLocked(m *pb.FleetMember, now time.Time) *Peer {
 	p := &Peer{
 		Name: m.GetInstance(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Zone: m.GetZone(), DiscoveredAt: now,
-		row: f.rowOfLocked(m.GetInstance()),
+		seenAt: f.clock.observe(now), row: f.rowOfLocked(m.GetInstance()),
 	}
 	f.peers[p.Name] = p
 	return p
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -43,9 +43,6 @@
 	releasedRetention = keptTime + 10*time.Minute
 	// shareLogPeriod is the shortest time between two log lines about the share.
 	shareLogPeriod = time.Second
-	// maxRowsCheckGap is the gap between two checks of the rows after which this instance
-	// was paused and has missed its peers' reports.
-	maxRowsCheckGap = 2 * time.Second
 )
 
 // Row is the row of an instance with its version in the store.
@@ -59,8 +56,9 @@
 	Row
 	// markedAt is when the row was first seen marked as silent.
 	markedAt time.Time
-	// clearedAt is when a mark was last seen removed, and clears how often.
-	clearedAt time.Time
+	// clearedAt is how long this instance had run when a mark was last seen removed, and
+	// clears how often.
+	clearedAt time.Duration
 	clears    int
 }
 
@@ -142,6 +140,7 @@
 	if !f.hasMembers {
 		return initialShare
 	}
+	f.clock.observe(now)
 	c := f.countLocked(now)
 	age, leased := f.updateLeaseLocked()
 	// Without a lease, a peer that is not heard may have released this instance's part.
@@ -247,7 +246,7 @@
 		if !ok || f.hasStartedAnew(p, row, now) {
 			p = f.addPeerLocked(row.Member, now)
 		}
-		p.setRow(row, now)
+		p.setRow(row, now, f.clock.observe(now))
 	}
 	for name, p := range f.peers {
 		if !listed[name] {
@@ -288,7 +287,7 @@
 	return rowState{}
 }
 
-func (p *Peer) setRow(row Row, now time.Time) {
+func (p *Peer) setRow(row Row, now time.Time, ran time.Duration) {
 	// The store may give out a version again when it is back from an older copy.
 	if row.Version == p.row.Version && proto.Equal(row.Member, p.row.Member) {
 		return
@@ -297,7 +296,7 @@
 	case row.Member.GetSilent() && !before:
 		p.row.markedAt = now
 	case before && !row.Member.GetSilent():
-		p.row.clearedAt = now
+		p.row.clearedAt = ran
 		p.row.clears++
 	}
 	p.row.Row = row
@@ -316,10 +315,7 @@
 func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) []RowChange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.rowsCheckedAt) > maxRowsCheckGap {
-		f.silentFrom = now
-	}
-	f.rowsCheckedAt = now
+	f.clock.observe(now)
 	if f.settings.Instances != nil && f.settings.Instances.Current() != nil {
 		f.removeGoneLocked(now)
 	}
@@ -348,10 +344,10 @@
 	next := proto.CloneOf(m)
 	switch {
 	case !m.GetSilent():
-		silentFrom := later(later(p.lastSeen(), f.silentFrom), p.row.clearedAt)
+		silence := f.clock.observe(now) - max(p.seenAt, p.row.clearedAt)
 		next.Silent = true
 		return RowChange{Next: next, Reason: "row of a silent instance marked"},
-			now.Sub(silentFrom) >= silenceLimit<<min(p.row.clears, maxSilenceDoublings)
+			silence >= silenceLimit<<min(p.row.clears, maxSilenceDoublings)
 	case !m.GetReleased():
 		next.Released, next.ReleasedAtMs, next.Members = true, storeNow.Milliseconds(), uint32(known)
 		return RowChange{Next: next, Reason: "part of a silent instance released"}, now.Sub(p.row.markedAt) >= leaseTime+leaseMargin
@@ -384,10 +380,3 @@
 	}
 	return f.ownRow(snapshot), true
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/fleet/silence_test.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+)
+
+func newUnconnectedFleet(self string) *Fleet {
+	f := &Fleet{
+		settings: Settings{Self: self, Zone: "z1", Address: self, Log: zap.NewNop()},
+		peers:    make(map[string]*Peer), toRelay: make(map[string]*pb.RelayedReport),
+	}
+	f.updateScheduleLocked()
+	return f
+}
+
+func rowInGoodOrder(name string) Row {
+	return Row{Member: &pb.FleetMember{Instance: name, Incarnation: 1, Address: name, Zone: "z1"}, Version: 1}
+}
+
+// Guards against an instance that never marks the rows of lost peers because it runs so seldom
+// that it takes each of its rounds for the end of a pause.
+func TestSilenceCountsInRoundsFarApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnconnectedFleet("a")
+		f.SetRows([]Row{rowInGoodOrder("lost")}, time.Now())
+		const rounds = 20
+		for range rounds {
+			if len(f.DueRows(time.Now(), time.Hour)) > 0 {
+				return
+			}
+			time.Sleep(maxObservationGap + 100*time.Millisecond)
+		}
+		t.Errorf("not marked after %d rounds", rounds)
+	})
+}
+
+// Guards against an instance that was paused and takes its peers for silent before it has
+// heard them again.
+func TestSilenceDoesNotCountInAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnconnectedFleet("a")
+		f.SetRows([]Row{rowInGoodOrder("b")}, time.Now())
+		for k := range uint64(5) {
+			require.True(t, f.accept(&pb.FleetReport{Instance: "b", Incarnation: 1, Sequence: k + 1, Address: "b", Zone: "z1"}, time.Now()))
+			for range 3 {
+				time.Sleep(500 * time.Millisecond)
+				require.Empty(t, f.DueRows(time.Now(), time.Hour))
+			}
+			time.Sleep(10 * time.Second)
+			for range 3 {
+				require.Empty(t, f.DueRows(time.Now(), time.Hour), "paused for 10 s after 1.5 s of silence")
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+	})
+}
