fleet: a peer that returned is not marked later ever after

What callers saw: a workspace at its limit is refused for up to 80 s after the loss of an instance that had been cut off or paused before, in place of some 9 s: all other instances leave the lost one its whole part until then. A fleet that has run for months has such peers.

Cause: each mark that is cleared doubles the wait before the next one, because a peer that is cut off from its peers but not from the store clears its mark each time. The count was kept for as long as the instance that owns the duty ran, also when the peer was heard again.

Change: the count starts anew once the peer is heard and a whole wait has passed since the mark was cleared.

Evidence: TestLossOfAnInstanceThatOftenReturned (five cuts of 4 s, each followed by 20 s, two calm minutes, then the loss) fails before: 12 s after the loss the share is 0.667 and not 0.833.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -57,11 +57,16 @@
 	// markedAt is when the row was first seen marked as silent.
 	markedAt time.Time
 	// clearedAt is how long this instance had run when a mark was last seen removed, and
-	// clears how often.
+	// clears how often. clears is 0 again once the peer is heard a silenceLimit later.
 	clearedAt time.Duration
 	clears    int
 }
 
+// silenceLimit is how long the peer sends no reports before its row is marked.
+func (r *rowState) silenceLimit() time.Duration {
+	return silenceLimit << min(r.clears, maxSilenceDoublings)
+}
+
 func (p *Peer) released() bool { return p.row.Member.GetReleased() }
 
 // lease is this instance's right to its whole part of the limits.
@@ -337,6 +342,10 @@
 	m := p.row.Member
 	if f.isCurrent(p, now) {
 		if !m.GetSilent() || p.Leaving {
+			// Only a peer that is not heard and clears its mark all the same is marked later.
+			if f.clock.observe(now)-p.row.clearedAt >= p.row.silenceLimit() {
+				p.row.clears = 0
+			}
 			return RowChange{}, false
 		}
 		return RowChange{Next: Cleared(p.member(), m, storeNow), Reason: "row of an instance that returned cleared"}, true
@@ -346,8 +355,7 @@
 	case !m.GetSilent():
 		silence := f.clock.observe(now) - max(p.seenAt, p.row.clearedAt)
 		next.Silent = true
-		return RowChange{Next: next, Reason: "row of a silent instance marked"},
-			silence >= silenceLimit<<min(p.row.clears, maxSilenceDoublings)
+		return RowChange{Next: next, Reason: "row of a silent instance marked"}, silence >= p.row.silenceLimit()
 	case !m.GetReleased():
 		next.Released, next.ReleasedAtMs, next.Members = true, storeNow.Milliseconds(), uint32(known)
 		return RowChange{Next: next, Reason: "part of a silent instance released"}, now.Sub(p.row.markedAt) >= leaseTime+leaseMargin
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,9 @@
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
 )
 
+// recoveryTime is the time within which the parts of lost instances must be free.
+const recoveryTime = 12 * time.Second
+
 func newUnconnectedFleet(self string) *Fleet {
 	f := &Fleet{
 		settings: Settings{Self: self, Zone: "z1", Address: self, Log: zap.NewNop()},
@@ -61,3 +65,33 @@
 		}
 	})
 }
+
+// Guards against a wait before the mark of a lost instance that has grown with each time it was
+// cut off and returned, however long ago.
+func TestLossOfAnInstanceThatOftenReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeaseFleet(t, 1)
+		defer l.stop()
+		names := []string{"a", "b", "c"}
+		for _, name := range names {
+			l.start(name)
+		}
+		l.run(5*time.Second, "start")
+		setSide := func(side int) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.side["c"], l.disturbedAt = side, time.Now()
+		}
+		for k := range 5 {
+			setSide(1)
+			l.run(4*time.Second, fmt.Sprint("cut off, ", k))
+			setSide(0)
+			l.run(20*time.Second, fmt.Sprint("back, ", k))
+			require.InDelta(t, 1, l.spent(), 1e-9)
+		}
+		l.run(2*time.Minute, "calm")
+		l.kill("c")
+		l.run(recoveryTime, "lost")
+		require.InDelta(t, 1-keptFraction/3, l.spent(), 1e-9)
+	})
+}
