instance: rows are checked when their next change is due

What callers saw: of the 12 s after which a fleet must serve again, a start used 10.3 s to get the parts of lost instances: 2.5 s of silence and 5.5 s after the mark are 8 s, the rest was waiting for the next of the rounds, which were a second apart, and the silence counted from the first round only.

Change: DueRows says when the next change is due, and the rows are checked then, at least once a second. Changes that were due are checked again after 400 ms. Silence counts from the reading of the rows. A log line says every two seconds what the release of the parts waits for: unmarked and marked rows, changes that are due, the time until the next one and the owner of the duty.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -41,6 +41,9 @@
 	// hour now and then.
 	keptTime          = 2 * time.Hour
 	releasedRetention = keptTime + 10*time.Minute
+	// maxRowsWait is the longest time between two checks of the rows. What a peer's silence or
+	// return makes due is noticed by then.
+	maxRowsWait = time.Second
 	// shareLogPeriod is the shortest time between two log lines about the share.
 	shareLogPeriod = time.Second
 )
@@ -314,10 +317,10 @@
 	Reason string
 }
 
-// DueRows returns the changes of the peers' rows that are due, and forgets the peers that have
-// left. storeNow is the latest time
-// that the store's clock can show.
-func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) []RowChange {
+// DueRows returns the changes of the peers' rows that are due, and how long it takes until the
+// next one is if nothing is heard, at most maxRowsWait. It forgets the peers that have left.
+// storeNow is the latest time that the store's clock can show.
+func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) (due []RowChange, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clock.observe(now)
@@ -325,20 +328,24 @@
 		f.removeGoneLocked(now)
 	}
 	known := f.countLocked(now).known
-	var due []RowChange
+	wait = maxRowsWait
 	for _, p := range f.peers {
 		if p.row.Member == nil {
 			continue
 		}
-		if change, ok := f.dueRowLocked(p, now, storeNow, known); ok {
-			change.Row = p.row.Row
-			due = append(due, change)
+		change, dueIn := f.dueRowLocked(p, now, storeNow, known)
+		if dueIn > 0 {
+			wait = min(wait, dueIn)
+			continue
 		}
+		change.Row = p.row.Row
+		due = append(due, change)
 	}
-	return due
+	return due, wait
 }
 
-func (f *Fleet) dueRowLocked(p *Peer, now time.Time, storeNow time.Duration, known int) (RowChange, bool) {
+// dueRowLocked returns the next change of a peer's row and the time until it is due.
+func (f *Fleet) dueRowLocked(p *Peer, now time.Time, storeNow time.Duration, known int) (RowChange, time.Duration) {
 	m := p.row.Member
 	if f.isCurrent(p, now) {
 		if !m.GetSilent() || p.Leaving {
@@ -346,22 +353,42 @@
 			if f.clock.observe(now)-p.row.clearedAt >= p.row.silenceLimit() {
 				p.row.clears = 0
 			}
-			return RowChange{}, false
+			return RowChange{}, maxRowsWait
 		}
-		return RowChange{Next: Cleared(p.member(), m, storeNow), Reason: "row of an instance that returned cleared"}, true
+		return RowChange{Next: Cleared(p.member(), m, storeNow), Reason: "row of an instance that returned cleared"}, 0
 	}
 	next := proto.CloneOf(m)
 	switch {
 	case !m.GetSilent():
 		silence := f.clock.observe(now) - max(p.seenAt, p.row.clearedAt)
 		next.Silent = true
-		return RowChange{Next: next, Reason: "row of a silent instance marked"}, silence >= p.row.silenceLimit()
+		return RowChange{Next: next, Reason: "row of a silent instance marked"}, p.row.silenceLimit() - silence
 	case !m.GetReleased():
 		next.Released, next.ReleasedAtMs, next.Members = true, storeNow.Milliseconds(), uint32(known)
-		return RowChange{Next: next, Reason: "part of a silent instance released"}, now.Sub(p.row.markedAt) >= leaseTime+leaseMargin
+		return RowChange{Next: next, Reason: "part of a silent instance released"}, leaseTime + leaseMargin - now.Sub(p.row.markedAt)
 	}
 	releasedFor := storeNow - time.Duration(m.GetReleasedAtMs())*time.Millisecond
-	return RowChange{Reason: "row of a lost instance removed"}, releasedFor > releasedRetention
+	return RowChange{Reason: "row of a lost instance removed"}, releasedRetention - releasedFor
+}
+
+// Pending counts the silent peers whose part is not released yet.
+type Pending struct{ Unmarked, Marked int }
+
+// PendingRows returns how many parts of silent peers are not released yet.
+func (f *Fleet) PendingRows(now time.Time) Pending {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var pending Pending
+	for _, p := range f.peers {
+		switch m := p.row.Member; {
+		case m == nil || m.GetReleased() || f.isCurrent(p, now):
+		case m.GetSilent():
+			pending.Marked++
+		default:
+			pending.Unmarked++
+		}
+	}
+	return pending
 }
 
 // Cleared returns the row in good order of an instance whose row was before; storeNow is the
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -214,7 +214,7 @@
 			i.registered = true
 		}
 	}
-	due := i.DueRows(now, i.fleet.store.now())
+	due, _ := i.DueRows(now, i.fleet.store.now())
 	if owner, _ := i.Owner("instances", func(*pb.FleetReport) bool { return false }, now); owner == i.name && i.reaches() {
 		for _, change := range due {
 			i.fleet.store.write(change.Row.Member.GetInstance(), change.Next, change.Row.Version)
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -36,7 +36,7 @@
 		f.SetRows([]Row{rowInGoodOrder("lost")}, time.Now())
 		const rounds = 20
 		for range rounds {
-			if len(f.DueRows(time.Now(), time.Hour)) > 0 {
+			if due, _ := f.DueRows(time.Now(), time.Hour); len(due) > 0 {
 				return
 			}
 			time.Sleep(maxObservationGap + 100*time.Millisecond)
@@ -55,11 +55,13 @@
 			require.True(t, f.accept(&pb.FleetReport{Instance: "b", Incarnation: 1, Sequence: k + 1, Address: "b", Zone: "z1"}, time.Now()))
 			for range 3 {
 				time.Sleep(500 * time.Millisecond)
-				require.Empty(t, f.DueRows(time.Now(), time.Hour))
+				due, _ := f.DueRows(time.Now(), time.Hour)
+				require.Empty(t, due)
 			}
 			time.Sleep(10 * time.Second)
 			for range 3 {
-				require.Empty(t, f.DueRows(time.Now(), time.Hour), "paused for 10 s after 1.5 s of silence")
+				due, _ := f.DueRows(time.Now(), time.Hour)
+				require.Empty(t, due, "paused for 10 s after 1.5 s of silence")
 				time.Sleep(200 * time.Millisecond)
 			}
 		}
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -48,6 +48,9 @@
 // evidence with what it knows. It does so as well when the store is back.
 const reconcilePeriod = time.Minute
 
+// reconcileCheckPeriod is the interval between checks whether that is due.
+const reconcileCheckPeriod = time.Second
+
 // applyCrashes adds records of requests that crash targets and passes changes to the
 // groups.
 func (i *Instance) applyCrashes(entries []scheduler.CrashEvidence, source crashSource) {
@@ -102,7 +105,7 @@
 // reconcileCrashes compares the stored crash evidence with what is known here if that is the
 // duty of this instance.
 func (i *Instance) reconcileCrashes(ctx context.Context) {
-	ticker := time.NewTicker(rowsPeriod)
+	ticker := time.NewTicker(reconcileCheckPeriod)
 	defer ticker.Stop()
 	reconciled := time.Now()
 	for {
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -14,8 +14,15 @@
 	"github.com/basilloom/basilloom/telemetry/field"
 )
 
-// rowsPeriod is the interval between checks of the instances' rows.
-const rowsPeriod = time.Second
+const (
+	// minRowsWait is the shortest time between two checks of the instances' rows.
+	minRowsWait = 50 * time.Millisecond
+	// rowsRetry is the time after which changes that were due are checked again. The table
+	// shows most of them by then.
+	rowsRetry = 400 * time.Millisecond
+	// rowsLogPeriod is the shortest time between two log lines about pending changes.
+	rowsLogPeriod = 2 * time.Second
+)
 
 // applyRows passes the instances' rows to the fleet.
 func (i *Instance) applyRows() {
@@ -37,29 +44,47 @@
 }
 
 // maintainRows keeps this instance's row in good order and, if that is its duty, those of
-// its peers.
+// its peers. It checks them when the next change is due.
 func (i *Instance) maintainRows(ctx context.Context) {
-	ticker := time.NewTicker(rowsPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	rows := i.store.Table(tableInstances)
+	var logged time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			storeNow, known := i.store.LatestNow()
-			if !known {
-				continue
-			}
-			i.restoreOwnRow(ctx, rows)
-			due := i.fleet.DueRows(now, storeNow)
+		case <-timer.C:
+		}
+		now := time.Now()
+		storeNow, known := i.store.LatestNow()
+		if !known {
+			timer.Reset(rowsRetry)
+			continue
+		}
+		i.restoreOwnRow(ctx, rows)
+		due, wait := i.fleet.DueRows(now, storeNow)
+		if pending := i.fleet.PendingRows(now); pending != (fleet.Pending{}) && now.Sub(logged) >= rowsLogPeriod {
+			logged = now
+			i.logPendingRows(pending, len(due), wait, now)
+		}
+		if len(due) > 0 {
+			wait = rowsRetry // until the changes are read back, also if another instance makes them
 			if i.ownsDuty(tableInstances, now) {
 				i.changeRows(ctx, rows, due)
 			}
 		}
+		timer.Reset(max(wait, minRowsWait))
 	}
 }
 
+// logPendingRows logs what the release of the parts of silent instances waits for.
+func (i *Instance) logPendingRows(pending fleet.Pending, due int, wait time.Duration, now time.Time) {
+	owner := i.dutyOwner(tableInstances, now)
+	i.log.Info("parts of silent instances not released yet", zap.Int(field.Unmarked, pending.Unmarked), zap.Int(field.Marked, pending.Marked),
+		zap.Int(field.Due, due), zap.Duration(field.DueIn, wait), zap.String(field.Owner, owner))
+}
+
 // changeRows changes the rows of peers until the store does not respond. A conflict means that
 // another instance has changed the row.
 func (i *Instance) changeRows(ctx context.Context, rows storage.Table, due []fleet.RowChange) {
@@ -80,9 +105,13 @@
 // ownsDuty reports whether this instance has the duty for a table: one of those that reach the
 // store.
 func (i *Instance) ownsDuty(table string, now time.Time) bool {
+	return i.dutyOwner(table, now) == i.settings.Load().Instance
+}
+
+func (i *Instance) dutyOwner(table string, now time.Time) string {
 	reachesStore := func(r *pb.FleetReport) bool { return !r.GetStatusUnavailable() }
 	owner, _ := i.fleet.Owner(table, reachesStore, now)
-	return owner == i.settings.Load().Instance
+	return owner
 }
 
 func updateRow(ctx context.Context, rows storage.Table, change fleet.RowChange) error {
--- a/internal/instance/rows_test.go
+++ b/internal/instance/rows_test.go
@@ -84,7 +84,7 @@
 	require.Greater(t, n.rowOf(t, "i1").GetLeaseFromMs(), n.store.Now().Milliseconds(), "others may still spend the released part")
 	marked.Incarnation++
 	env.putRow(marked)
-	time.Sleep(2 * rowsPeriod)
+	time.Sleep(2 * time.Second)
 	require.True(t, proto.Equal(marked, n.rowOf(t, "i1")))
 }
 
--- a/telemetry/field/field.go
+++ b/telemetry/field/field.go
@@ -131,6 +131,13 @@
 	Reduced = "reduced"
 	// Released is the number of instances whose part of the quotas is released.
 	Released = "released"
+	// Marked is the number of silent instances whose row is marked and not released, Unmarked
+	// of those whose row is not marked yet.
+	Marked   = "marked"
+	Unmarked = "unmarked"
+	// Due is the number of changes of rows that are due, DueIn the time until the next one.
+	Due   = "due"
+	DueIn = "due_in"
 	// SinceLastReport is the time since the last report of a peer.
 	SinceLastReport = "silent"
 	// Callers is the address of the listener for callers.
