instance: an instance that the store refuses gives up the duty for the rows

If the instance with the duty for the rows is heard by its peers and does not reach the store, nobody marks or releases the rows of lost instances, for as long as that lasts.

Cause: the owner of the duty is chosen among those that reach the store, but only the reads of the status of version orders told whether an instance does. Without an order in progress it was never found out.

Change: an instance whose changes of rows the store has not taken reports that for two seconds, and another one has the duty meanwhile.

Evidence: TestPartsWhenTheOwnerOfTheDutyIsRefused fails before: the row is not released within 12 s.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -76,8 +76,10 @@
 	tracker       *rollout.Tracker
 	orderStatus   orderStatus
 	registered    atomic.Bool // this instance's row has been written
-	evacuations   evacuations
-	delays        linkDelays
+	// rowsFailedAt is when the store last did not take changes of peers' rows.
+	rowsFailedAt atomic.Pointer[time.Time]
+	evacuations  evacuations
+	delays       linkDelays
 	// orderWaitLogged is when the last line on what a version order waits for was logged.
 	orderWaitLogged time.Time
 	status          storage.Table // holds the status of version orders
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -84,7 +84,7 @@
 	m.Spending = i.spending.entries(i.ledger.LocalUsage(), i.ledger.Levels(now), m.GetSpendingPartial(), now)
 	m.Versions = i.tracker.Report()
 	m.Phases = i.phasesForReport(now)
-	m.StatusUnavailable = i.orderStatus.isUnavailable()
+	m.StatusUnavailable = i.orderStatus.isUnavailable() || i.isRefused(now)
 	m.ZoneDelays = i.delaysForReport(m, now)
 	for _, c := range i.crashes.forReport(now) {
 		m.Crashes = append(m.Crashes, crashRecord(c))
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -22,6 +22,8 @@
 	// rowsRetry is the time after which changes that were due are checked again. The table
 	// shows most of them by then.
 	rowsRetry = 400 * time.Millisecond
+	// dutyPause is how long an instance reports that the store refused its changes of rows.
+	dutyPause = 2 * time.Second
 	// rowsLogPeriod is the shortest time between two log lines about pending changes.
 	rowsLogPeriod = 2 * time.Second
 )
@@ -99,6 +101,8 @@
 			_, err = i.changeTogether(ctx, changes)
 		}
 		if err != nil && !errors.Is(err, storage.ErrConflict) {
+			failedAt := time.Now()
+			i.rowsFailedAt.Store(&failedAt)
 			i.log.Info("instance rows not updated", zap.Int(field.Rows, len(changes)), zap.Error(err))
 			return
 		}
@@ -130,6 +134,13 @@
 	return nil, nil
 }
 
+// isRefused reports whether the store has not taken this instance's last changes of rows, so
+// that another instance takes over its duties.
+func (i *Instance) isRefused(now time.Time) bool {
+	failedAt := i.rowsFailedAt.Load()
+	return failedAt != nil && now.Sub(*failedAt) < dutyPause
+}
+
 // ownsDuty reports whether this instance has the duty for a table: one of those that reach the
 // store.
 func (i *Instance) ownsDuty(table string, now time.Time) bool {
--- a/internal/instance/rows_test.go
+++ b/internal/instance/rows_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,3 +170,27 @@
 	}
 	require.LessOrEqual(t, n.store.Calls()[platform.CallWrite].Answered.Load(), int64(3))
 }
+
+// Guards against parts of lost instances that nobody releases because the instance with that
+// duty is heard by its peers and does not reach the store.
+func TestPartsWhenTheOwnerOfTheDutyIsRefused(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 1000)
+	nodes, refused := make(map[string]*node), make(map[string]*atomic.Bool)
+	for _, name := range []string{"i1", "i2"} {
+		server, refuse := env.refusingStore()
+		nodes[name], refused[name] = env.startAt(name, server.URL), refuse
+	}
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return len(n.fleet.LiveReports(time.Now())) == 1 }, contactTime, 10*time.Millisecond)
+	}
+	owner := nodes["i1"].dutyOwner(tableInstances, time.Now())
+	refused[owner].Store(true)
+	env.putRow(&pb.FleetMember{Instance: "lost", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"})
+	for name, n := range nodes {
+		if name != owner {
+			require.Eventually(t, func() bool { return n.rowOf(t, "lost").GetReleased() }, recoveryTime, 20*time.Millisecond)
+		}
+	}
+}
