fleet: a new instance has no lease while others may divide the limits without it

What callers saw: nothing measured. Instances that were cut off from it, and that had read the table before, went on dividing all of the limits between themselves, for as long as their leases last.

Instances that hear all others need no lease, so the start of a fleet is as before.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -391,11 +391,12 @@
 	return pending
 }
 
-// Cleared returns the row in good order of an instance whose row was before; storeNow is the
-// latest time that the store's clock can show. Other instances may spend a released part for
-// as long as their leases last.
+// Cleared returns the row in good order of an instance whose row was before, nil or empty if
+// it had none; storeNow is the latest time that the store's clock can show. Other instances may
+// spend a released part, or divide the limits without the instance, for as long as their leases
+// last.
 func Cleared(m, before *pb.FleetMember, storeNow time.Duration) *pb.FleetMember {
-	if before.GetSilent() {
+	if before.GetSilent() || before.GetInstance() == "" {
 		m.LeaseFromMs = (storeNow + leaseTime + 2*leaseMargin).Milliseconds()
 	} else {
 		m.LeaseFromMs = before.GetLeaseFromMs()
--- a/internal/instance/rows_test.go
+++ b/internal/instance/rows_test.go
@@ -27,6 +27,15 @@
 	env.store.Put(tableInstances, m.GetInstance(), value)
 }
 
+// silentAddress returns an address that takes connections and sends nothing, like that of an
+// instance that is paused. Nothing tells it from one that is cut off.
+func (env *testEnv) silentAddress() string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(env.t, err)
+	env.t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
 // rowOf returns the row of an instance, or nil.
 func (n *node) rowOf(t *testing.T, name string) *pb.FleetMember {
 	rows, _, err := n.store.Load(context.Background(), tableInstances)
@@ -65,6 +74,20 @@
 	require.Eventually(t, func() bool { return math.Abs(last.ledger.Share()-spent) < 1e-9 }, contactTime, 20*time.Millisecond)
 }
 
+// Guards against a new instance that spends its part while others may still divide the limits
+// without it.
+func TestNewInstanceHasNoLeaseAtOnce(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	env.configure(testRoutes(), []string{testKey}, 1000)
+	env.putRow(&pb.FleetMember{Instance: "away", Incarnation: 1, Address: env.silentAddress(), Zone: "z1"})
+	n := env.start("i1")
+	require.Eventually(t, func() bool { return n.rowOf(t, "i1") != nil }, contactTime, 20*time.Millisecond)
+	require.Greater(t, n.rowOf(t, "i1").GetLeaseFromMs(), n.store.Now().Milliseconds())
+	require.Eventually(t, func() bool { return n.ledger.Share() == 0.25 }, contactTime, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return n.ledger.Share() >= 0.5 }, recoveryTime, 20*time.Millisecond)
+}
+
 // Guards against an instance without a row in good order, because peers have marked it or the
 // store is back from an older copy, and against the loss of the row of a later start.
 func TestInstanceRestoresItsRow(t *testing.T) {
