Revert "fleet: the part of a process that has ended is free at once"

A refused connection does not show that a process has ended: links may reject connections while they are cut (the users' kinds of trouble say so: cuts are silent unless they reset or refuse), and then the others spend the whole part of a peer that goes on spending half of it. The tests that stand for instances that may be cut off, at addresses where nothing listens, are the guard against this and are back as they were.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,10 +90,6 @@
 	// avoidUntil is when the peer may own groups again after a reported failure.
 	avoidUntil time.Time
 	row        rowState
-	// ended is set if the peer's process is known to have ended. probeAt is when it may be
-	// probed next.
-	ended   bool
-	probeAt time.Time
 }
 
 // Settings configures a Fleet.
@@ -131,8 +127,6 @@
 	conn     *net.UDPConn
 	// write sends a datagram to an address.
 	write func(data []byte, address string)
-	// refuses reports whether an address refuses connections.
-	refuses func(ctx context.Context, address string) bool
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -173,7 +167,7 @@
 		announcedFar: make(chan struct{}, 1),
 		toRelay:      make(map[string]*pb.RelayedReport), completeUntil: time.Now().Add(completeReportsPeriod),
 	}
-	f.write, f.refuses = f.writeDatagram, refusesConnections
+	f.write = f.writeDatagram
 	f.updateScheduleLocked()
 	if settings.Instances != nil {
 		settings.Instances.SetNeedsReadAt()
@@ -348,7 +342,7 @@
 	}
 	moved := p.Zone != m.GetZone()
 	p.Address, p.Zone, p.LastReportAt, p.Report, p.Leaving = m.GetAddress(), m.GetZone(), now, m, m.GetLeaving()
-	p.seenAt, p.ended, p.probeAt = f.clock.observe(now), false, time.Time{}
+	p.seenAt = f.clock.observe(now)
 	if !ok || moved {
 		f.updateScheduleLocked()
 	}
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -269,7 +269,7 @@
 func (f *Fleet) removeGoneLocked(now time.Time) {
 	before := len(f.peers)
 	for name, p := range f.peers {
-		if p.row.Member == nil && !f.isCurrent(p, now) && (p.Leaving || p.ended || now.Sub(p.lastSeen()) > silenceLimit+leaseTime) {
+		if p.row.Member == nil && !f.isCurrent(p, now) && (p.Leaving || now.Sub(p.lastSeen()) > silenceLimit+leaseTime) {
 			delete(f.peers, name)
 			f.settings.Log.Info("peer removed because it has no row and sends no reports", zap.String(field.Peer, name))
 		}
@@ -308,7 +308,6 @@
 		p.row.clears++
 	}
 	p.row.Row = row
-	p.ended, p.probeAt = false, time.Time{} // another instance may know better
 }
 
 // RowChange is a change of a peer's row that is due. Next is nil if the row is to be removed.
@@ -334,9 +333,6 @@
 		if p.row.Member == nil {
 			continue
 		}
-		if probeIn := f.probeWaitLocked(p, now); probeIn > 0 {
-			wait = min(wait, probeIn)
-		}
 		change, dueIn := f.dueRowLocked(p, now, storeNow, known)
 		if dueIn > 0 {
 			wait = min(wait, dueIn)
@@ -363,8 +359,6 @@
 	}
 	next := proto.CloneOf(m)
 	switch {
-	case p.ended:
-		return RowChange{Reason: "row of an instance that has ended removed"}, 0
 	case !m.GetSilent():
 		silence := f.clock.observe(now) - max(p.seenAt, p.row.clearedAt)
 		next.Silent = true
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -64,8 +64,6 @@
 	starts  uint64
 	// side holds the side of a partition on which each instance is, the store on side 0.
 	side map[string]int
-	// powerless is set if a machine whose instance was killed does not answer.
-	powerless bool
 	// disturbedAt is when an instance or the network last changed.
 	disturbedAt time.Time
 }
@@ -143,11 +141,6 @@
 			peer.handle(data, time.Now())
 		}
 	}
-	i.refuses = func(_ context.Context, address string) bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return !l.powerless && l.running[address] == nil && l.side[address] == l.side[name]
-	}
 	ctx, end := context.WithCancel(l.t.Context())
 	i.end = end
 	l.running[name] = i
@@ -223,7 +216,6 @@
 	}
 	due, _ := i.DueRows(now, i.fleet.store.now())
 	if owner, _ := i.Owner("instances", func(*pb.FleetReport) bool { return false }, now); owner == i.name && i.reaches() {
-		i.ProbeSilent(i.fleet.t.Context(), now, func() {})
 		for _, change := range due {
 			i.fleet.store.write(change.Row.Member.GetInstance(), change.Next, change.Row.Version)
 		}
@@ -335,15 +327,13 @@
 
 // TestPartsInSeriesOfFaults guards against parts of the quotas that are spent twice, by peers
 // that are only cut off, and against parts of lost instances that nobody spends: faults come
-// in series, with less time between them than a part takes to be released. The machines of lost
-// instances answer that nothing listens, or do not answer.
+// in series, with less time between them than a part takes to be released.
 func TestPartsInSeriesOfFaults(t *testing.T) {
 	const instances, recoveryTime = 9, 12 * time.Second
 	for seed := range *leaseSeeds {
 		synctest.Test(t, func(t *testing.T) {
 			l := newLeaseFleet(t, seed)
 			defer l.stop()
-			l.powerless = seed%2 == 0
 			names := make([]string, instances)
 			for k := range names {
 				names[k] = fmt.Sprint("i", k)
@@ -404,10 +394,7 @@
 				}
 			}
 			l.run(recoveryTime, script+" back")
-			left := 1.
-			if l.powerless {
-				left = float64(instances-len(lost)) / instances
-			}
+			left := float64(instances-len(lost)) / instances
 			require.InDelta(t, left+(1-left)*(1-keptFraction), l.spent(), 1e-9, script)
 		})
 	}
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -74,7 +74,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newLeaseFleet(t, 1)
 		defer l.stop()
-		l.powerless = true
 		names := []string{"a", "b", "c"}
 		for _, name := range names {
 			l.start(name)
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -52,7 +52,6 @@
 func (i *Instance) maintainRows(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	ended := make(chan struct{}, 1)
 	rows := i.store.Table(tableInstances)
 	var logged time.Time
 	for {
@@ -60,7 +59,6 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-ended:
 		}
 		now := time.Now()
 		storeNow, known := i.store.LatestNow()
@@ -76,15 +74,9 @@
 		}
 		if len(due) > 0 {
 			wait = rowsRetry // until the changes are read back, also if another instance makes them
-		}
-		if i.ownsDuty(tableInstances, now) {
-			i.fleet.ProbeSilent(ctx, now, func() {
-				select {
-				case ended <- struct{}{}:
-				default:
-				}
-			})
-			i.changeRows(ctx, due)
+			if i.ownsDuty(tableInstances, now) {
+				i.changeRows(ctx, due)
+			}
 		}
 		timer.Reset(max(wait, minRowsWait))
 	}
--- a/internal/instance/rows_test.go
+++ b/internal/instance/rows_test.go
@@ -58,9 +58,8 @@
 	const lost = 8
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
-	address := env.silentAddress()
 	for k := range lost {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: address, Zone: "z1"})
+		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
 	}
 	const spent = 1./9 + 0.5*8/9
 	first := env.start("i1")
@@ -75,21 +74,6 @@
 	require.Eventually(t, func() bool { return math.Abs(last.ledger.Share()-spent) < 1e-9 }, contactTime, 20*time.Millisecond)
 }
 
-// Guards against callers that are refused for two hours what belongs to processes that have
-// ended, and against a wait for the leases of such processes.
-func TestPartsOfInstancesThatEnded(t *testing.T) {
-	t.Parallel()
-	env := newTestEnv(t)
-	env.configure(testRoutes(), []string{testKey}, 1000)
-	for k := range 8 {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("ended-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
-	}
-	startedAt := time.Now()
-	n := env.start("i1")
-	require.Eventually(t, func() bool { return n.rowOf(t, "ended-0") == nil && n.ledger.Share() == 1 },
-		contactTime-time.Since(startedAt), 20*time.Millisecond)
-}
-
 // Guards against a new instance that spends its part while others may still divide the limits
 // without it.
 func TestNewInstanceHasNoLeaseAtOnce(t *testing.T) {
@@ -138,7 +122,7 @@
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
 	n := env.start("i1")
-	away := &pb.FleetMember{Instance: "away", Incarnation: 1, Address: env.silentAddress(), Zone: "z1"}
+	away := &pb.FleetMember{Instance: "away", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"}
 	env.putRow(away)
 	conn, err := net.Dial("udp4", n.settings.Load().Peers)
 	require.NoError(t, err)
@@ -166,9 +150,8 @@
 	const lost = 99
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
-	address := env.silentAddress()
 	for k := range lost {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: address, Zone: "z1"})
+		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
 	}
 	env.store.SetFaults(platformstore.Faults{Delay: 300 * time.Millisecond})
 	startedAt := time.Now()
@@ -227,7 +210,7 @@
 	}
 	owner := nodes["i1"].dutyOwner(tableInstances, time.Now())
 	refused[owner].Store(true)
-	env.putRow(&pb.FleetMember{Instance: "lost", Incarnation: 1, Address: env.silentAddress(), Zone: "z1"})
+	env.putRow(&pb.FleetMember{Instance: "lost", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"})
 	for name, n := range nodes {
 		if name != owner {
 			require.Eventually(t, func() bool { return n.rowOf(t, "lost").GetReleased() }, recoveryTime, 20*time.Millisecond)
