instance, fleet: the release of parts does not wait for the feed

What callers saw: after a start on a store that loses calls the parts of lost instances stay with them beyond the 12 s: a mark or a release counts only once the feed shows it, and a call of the feed that is lost is noticed after 2.7 s. Each of the two steps may meet one.

Cause: the response to the write, which names the version of the row, was not used.

Change: what a response shows, the rows written or, after a conflict, the current ones, is taken at once, with the table's version, so that an older copy of the table does not undo it. After a lost response the repeated write conflicts and shows the row.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -63,6 +63,8 @@
 	// clears how often. clears is 0 again once the peer is heard a silenceLimit later.
 	clearedAt time.Duration
 	clears    int
+	// asOf is the table's version at which a write of this instance showed the row.
+	asOf int64
 }
 
 // silenceLimit is how long the peer sends no reports before its row is marked.
@@ -238,33 +240,52 @@
 	return c
 }
 
-// SetRows takes the instances' rows from the store.
-func (f *Fleet) SetRows(rows []Row, now time.Time) {
+// SetRows takes the instances' rows from a copy of the table with the given version. Rows that
+// a write of this instance has shown since are kept.
+func (f *Fleet) SetRows(rows []Row, version int64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hasMembers = true
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		name := row.Member.GetInstance()
-		if name == f.settings.Self || row.Member.GetAddress() == "" {
-			continue
-		}
-		listed[name] = true
-		p, ok := f.peers[name]
-		if !ok || f.hasStartedAnew(p, row, now) {
-			p = f.addPeerLocked(row.Member, now)
-		}
-		p.setRow(row, now, f.clock.observe(now))
+		listed[row.Member.GetInstance()] = true
+		f.setRowLocked(row, version, now)
 	}
 	for name, p := range f.peers {
-		if !listed[name] {
-			p.row = rowState{}
+		if !listed[name] && p.row.asOf <= version {
+			p.row = rowState{asOf: p.row.asOf}
 		}
 	}
 	f.removeGoneLocked(now)
 	f.updateScheduleLocked()
 }
 
+// SetWritten takes peers' rows as the store's response to a write shows them at a version of the
+// table.
+func (f *Fleet) SetWritten(rows []Row, version int64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range rows {
+		f.setRowLocked(row, version, now)
+		if p, ok := f.peers[row.Member.GetInstance()]; ok {
+			p.row.asOf = max(p.row.asOf, version)
+		}
+	}
+	f.updateScheduleLocked()
+}
+
+func (f *Fleet) setRowLocked(row Row, version int64, now time.Time) {
+	name := row.Member.GetInstance()
+	if name == f.settings.Self || row.Member.GetAddress() == "" || f.rowOfLocked(name).asOf > version {
+		return
+	}
+	p, ok := f.peers[name]
+	if !ok || f.hasStartedAnew(p, row, now) {
+		p = f.addPeerLocked(row.Member, now)
+	}
+	p.setRow(row, now, f.clock.observe(now))
+}
+
 // removeGoneLocked removes the peers that have no row and send no reports.
 func (f *Fleet) removeGoneLocked(now time.Time) {
 	before := len(f.peers)
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -192,7 +192,7 @@
 			require.NoError(i.fleet.t, proto.Unmarshal(r.Value, m))
 			rows = append(rows, Row{Member: m, Version: r.Version})
 		}
-		i.SetRows(rows, time.Now())
+		i.SetRows(rows, i.rows.Version(), time.Now())
 	default:
 	}
 }
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -33,7 +33,7 @@
 func TestSilenceCountsInRoundsFarApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newUnconnectedFleet("a")
-		f.SetRows([]Row{rowInGoodOrder("lost")}, time.Now())
+		f.SetRows([]Row{rowInGoodOrder("lost")}, 1, time.Now())
 		const rounds = 20
 		for range rounds {
 			if due, _ := f.DueRows(time.Now(), time.Hour); len(due) > 0 {
@@ -50,7 +50,7 @@
 func TestSilenceDoesNotCountInAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newUnconnectedFleet("a")
-		f.SetRows([]Row{rowInGoodOrder("b")}, time.Now())
+		f.SetRows([]Row{rowInGoodOrder("b")}, 1, time.Now())
 		for k := range uint64(5) {
 			require.True(t, f.accept(&pb.FleetReport{Instance: "b", Incarnation: 1, Sequence: k + 1, Address: "b", Zone: "z1"}, time.Now()))
 			for range 3 {
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/basilloom/basilloom/fleet"
 	pb "github.com/basilloom/basilloom/gen/basilloom/v1"
+	"github.com/basilloom/basilloom/mirror"
 	"github.com/basilloom/basilloom/platform"
 	"github.com/basilloom/basilloom/storage"
 	"github.com/basilloom/basilloom/telemetry/field"
@@ -31,20 +33,26 @@
 // applyRows passes the instances' rows to the fleet.
 func (i *Instance) applyRows() {
 	snapshot := i.instances.Current()
-	rows := make([]fleet.Row, 0, len(snapshot.Rows))
-	for key, row := range snapshot.Rows {
+	rows := i.decodeRows(slices.Collect(maps.Values(snapshot.Rows)))
+	i.fleet.SetRows(rows, snapshot.Version, time.Now())
+	if !i.listed {
+		i.listed = true
+		i.log.Info("instances listed", zap.Int(field.Instances, len(rows)))
+	}
+}
+
+// decodeRows returns the instances' rows without those that cannot be decoded.
+func (i *Instance) decodeRows(rows []mirror.Row) []fleet.Row {
+	decoded := make([]fleet.Row, 0, len(rows))
+	for _, row := range rows {
 		m := &pb.FleetMember{}
 		if err := proto.Unmarshal(row.Value, m); err != nil {
-			i.log.Warn("instance row not decoded", zap.String(field.Key, key), zap.Error(err))
+			i.log.Warn("instance row not decoded", zap.String(field.Key, row.Key), zap.Error(err))
 			continue
 		}
-		rows = append(rows, fleet.Row{Member: m, Version: row.Version})
-	}
-	i.fleet.SetRows(rows, time.Now())
-	if !i.listed {
-		i.listed = true
-		i.log.Info("instances listed", zap.Int(field.Instances, len(rows)))
+		decoded = append(decoded, fleet.Row{Member: m, Version: row.Version})
 	}
+	return decoded
 }
 
 // maintainRows keeps this instance's row in good order and, if that is its duty, those of
@@ -90,15 +98,12 @@
 }
 
 // changeRows changes the rows of peers until the store does not respond. A conflict means that
-// another instance has changed the row: the others are changed without it.
+// another instance has changed a row: those that are as expected are changed without it.
 func (i *Instance) changeRows(ctx context.Context, due []fleet.RowChange) {
 	for changes := range slices.Chunk(due, platform.MaxUpdates) {
-		conflicts, err := i.changeTogether(ctx, changes)
+		current, err := i.changeTogether(ctx, changes)
 		if errors.Is(err, storage.ErrConflict) {
-			changes = slices.DeleteFunc(changes, func(c fleet.RowChange) bool {
-				return slices.Contains(conflicts, c.Row.Member.GetInstance())
-			})
-			_, err = i.changeTogether(ctx, changes)
+			_, err = i.changeTogether(ctx, unchanged(changes, current))
 		}
 		if err != nil && !errors.Is(err, storage.ErrConflict) {
 			failedAt := time.Now()
@@ -109,9 +114,19 @@
 	}
 }
 
-// changeTogether changes rows in one transaction. With storage.ErrConflict it returns the names
-// of the instances whose row was changed by another one.
-func (i *Instance) changeTogether(ctx context.Context, changes []fleet.RowChange) (conflicts []string, err error) {
+// unchanged returns the changes whose row is as expected among the current ones.
+func unchanged(changes []fleet.RowChange, current []fleet.Row) []fleet.RowChange {
+	return slices.DeleteFunc(slices.Clone(changes), func(c fleet.RowChange) bool {
+		return !slices.ContainsFunc(current, func(r fleet.Row) bool {
+			return r.Member.GetInstance() == c.Row.Member.GetInstance() && r.Version == c.Row.Version
+		})
+	})
+}
+
+// changeTogether changes rows in one transaction. With storage.ErrConflict it returns the
+// current rows. What the store's response shows is passed to the fleet, which does not have to
+// wait for the feed.
+func (i *Instance) changeTogether(ctx context.Context, changes []fleet.RowChange) (current []fleet.Row, err error) {
 	if len(changes) == 0 {
 		return nil, nil
 	}
@@ -125,13 +140,23 @@
 		}
 		updates = append(updates, update)
 	}
-	if conflicts, err = i.store.Update(ctx, tableInstances, updates); err != nil {
-		return conflicts, err
-	}
-	for _, change := range changes {
-		i.log.Info(change.Reason, zap.String(field.Peer, change.Row.Member.GetInstance()))
+	version, rows, err := i.store.Update(ctx, tableInstances, updates)
+	switch {
+	case errors.Is(err, storage.ErrConflict):
+		current = i.decodeRows(rows)
+	case err != nil:
+		return nil, err
+	default:
+		_, storeVersion := mirror.Era(version)
+		for _, change := range changes {
+			if change.Next != nil {
+				current = append(current, fleet.Row{Member: change.Next, Version: storeVersion})
+			}
+			i.log.Info(change.Reason, zap.String(field.Peer, change.Row.Member.GetInstance()))
+		}
 	}
-	return nil, nil
+	i.fleet.SetWritten(current, version, time.Now())
+	return current, err
 }
 
 // isRefused reports whether the store has not taken this instance's last changes of rows, so
