--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -169,14 +169,15 @@
 
 // follow does what an instance does with its fleet and its row.
 func (i *leaseInstance) follow(ctx context.Context) {
+	rowsDue := time.Now()
 	for round := 0; ctx.Err() == nil; round++ {
 		i.fleet.mu.Lock()
 		i.takeRows()
 		if round%10 == 0 {
 			i.report()
 		}
-		if round%50 == 49 {
-			i.maintainRows()
+		if now := time.Now(); !now.Before(rowsDue) {
+			rowsDue = now.Add(i.maintainRows())
 		}
 		i.fleet.mu.Unlock()
 		time.Sleep(reportPeriod / 10)
@@ -206,7 +207,8 @@
 	}
 }
 
-func (i *leaseInstance) maintainRows() {
+// maintainRows returns the time until the rows are to be checked again.
+func (i *leaseInstance) maintainRows() time.Duration {
 	now, self := time.Now(), i.member()
 	own, ok := i.OwnRow()
 	if i.reaches() && ok && (!i.registered || own.Member == nil || own.Member.GetSilent()) {
@@ -214,11 +216,29 @@
 			i.registered = true
 		}
 	}
-	due, _ := i.DueRows(now, i.fleet.store.now())
+	due, wait := i.DueRows(now, i.fleet.store.now())
+	if len(due) == 0 {
+		return wait
+	}
 	if owner, _ := i.Owner("instances", func(*pb.FleetReport) bool { return false }, now); owner == i.name && i.reaches() {
-		for _, change := range due {
-			i.fleet.store.write(change.Row.Member.GetInstance(), change.Next, change.Row.Version)
+		i.changeRows(due, now)
+	}
+	return 2 * reportPeriod
+}
+
+// changeRows writes changes and takes the rows that the store's responses show, but for a
+// tenth of the responses, which are lost.
+func (i *leaseInstance) changeRows(due []RowChange, now time.Time) {
+	for _, change := range due {
+		name := change.Row.Member.GetInstance()
+		i.fleet.store.write(name, change.Next, change.Row.Version)
+		row, ok := i.fleet.store.rows[name]
+		if !ok || i.fleet.store.version%10 == 0 {
+			continue
 		}
+		m := &pb.FleetMember{}
+		require.NoError(i.fleet.t, proto.Unmarshal(row.Value, m))
+		i.SetWritten([]Row{{Member: m, Version: row.Version}}, i.fleet.store.version, now)
 	}
 }
 
