--- a/internal/drain/limits_test.go
+++ b/internal/drain/limits_test.go
@@ -154,6 +154,7 @@
 	conns.requirePhase(t, phaseHead, 1)
 	requireStatus(t, dial(t, address, wholeHead), http.StatusOK)
 	requireClosed(t, head)
+	conns.requirePhase(t, phaseIdle, 1) // the server returns from the handler after the response
 	for range 2 {
 		dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nb")
 		conns.requirePhase(t, phaseBody, 2)
