test: ports of started processes are given once, below the ephemeral range

Cause: test/callers asked the system for a port, closed the listener and passed the port to a process, four times for each process. The system gives random ports: 49 of 50,000 sets of four have one port twice, which at 55 processes is one run in 20. Outgoing connections, as those of the loop that waits for the process, come from the same range. The tests of internal/instance had a second way to find ports, without either fault.

Change: one package, internal/standin/ports, for both: no port is given twice, all are below the ephemeral range, and ports in use are passed over. No check of test/callers changed; its tests of connections and of loads at serve pass.

--- a/internal/instance/testenv_test.go
+++ b/internal/instance/testenv_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
+	"github.com/basilloom/basilloom/internal/standin/ports"
 	"github.com/basilloom/basilloom/internal/standin/worker"
 	"github.com/basilloom/basilloom/platform"
 )
@@ -160,28 +161,11 @@
 	ended  chan struct{}
 }
 
-// portOffset is the offset of the last port given to an instance. All ports are below
-// the system's ephemeral range, so that outgoing connections of other tests do not
-// take them.
-var portOffset atomic.Int32
-
 // freeAddress returns an address whose port and the next one are free.
 func freeAddress(t *testing.T) string {
-	const first, count = 20000, 10000
-	portOffset.CompareAndSwap(0, int32(os.Getpid()%count))
-	for range count {
-		port := first + int(portOffset.Add(2))%count
-		if isFree(port) && isFree(port+1) {
-			return fmt.Sprintf("127.0.0.1:%d", port)
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func isFree(port int) bool {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-	return err == nil && listener.Close() == nil
+	port, err := ports.Free(2)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 const settingsFile = `
--- a/test/callers/process_test.go
+++ b/test/callers/process_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -22,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilloom/basilloom/internal/standin/platformstore"
+	"github.com/basilloom/basilloom/internal/standin/ports"
 	"github.com/basilloom/basilloom/platform"
 )
 
@@ -167,10 +167,9 @@
 
 func freePort(t *testing.T) int {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free(1)
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 const settingsFile = `
@@ -249,13 +248,13 @@
 		"limits":  rules,
 		"tenants": []map[string]any{{"name": "acme", "api_keys": []string{testKey}}},
 	})
-	ports := map[string]int{"peers": freePort(t), "callers": freePort(t), "ready": freePort(t), "metrics": freePort(t)}
+	listeners := map[string]int{"peers": freePort(t), "callers": freePort(t), "ready": freePort(t), "metrics": freePort(t)}
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	text := fmt.Sprintf(settingsFile, ports["peers"], ports["callers"], ports["ready"], memoryMB, maxFDs, strings.TrimPrefix(server.URL, "http://"))
+	text := fmt.Sprintf(settingsFile, listeners["peers"], listeners["callers"], listeners["ready"], memoryMB, maxFDs, strings.TrimPrefix(server.URL, "http://"))
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	p := run(t, exec.Command(binary, "platform", "--settings-file="+path, fmt.Sprintf("--metrics-port=%d", ports["metrics"]), "--log-level=error"))
+	p := run(t, exec.Command(binary, "platform", "--settings-file="+path, fmt.Sprintf("--metrics-port=%d", listeners["metrics"]), "--log-level=error"))
 	p.addresses = make(map[string]string)
-	for name, port := range ports {
+	for name, port := range listeners {
 		p.addresses[name] = fmt.Sprintf("127.0.0.1:%d", port)
 	}
 	p.request = func(ctx context.Context) error { return send(ctx, p.ordinary("app/1", nil)) }
