fleet: an instance whose row was only marked has its part at once

What callers saw: after a fault of all instances, one that starts more than 2.5 s after the others spends half of its part for 6 s, also if its part was never released. With a lost instance beside it, the group refuses what is nobody's meanwhile.

Cause: a row that is written where it was marked was no lease for 6 s, as if it had been released. Nobody spends any part of it then: the release is conditional on the version of the marked row, so it fails once the row is cleared. The 6 s also covered an instance that misses that a row was cleared and marked again and counts from the first mark; now each version of a marked row starts its wait.

Evidence: TestLateStartHasItsPart (0.708 of the limits for 0.875) and TestEachMarkStartsTheWaitForTheLease (released after the first mark) fail before.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -57,7 +57,7 @@
 // rowState is what an instance knows of a peer's row.
 type rowState struct {
 	Row
-	// markedAt is when the row was first seen marked as silent.
+	// markedAt is when this version of the row, marked as silent, was first seen.
 	markedAt time.Time
 	// clearedAt is how long this instance had run when a mark was last seen removed, and
 	// clears how often. clears is 0 again once the peer is heard a silenceLimit later.
@@ -321,10 +321,11 @@
 	if row.Version == p.row.Version && proto.Equal(row.Member, p.row.Member) {
 		return
 	}
-	switch before := p.row.Member.GetSilent(); {
-	case row.Member.GetSilent() && !before:
+	switch {
+	case row.Member.GetSilent():
+		// Another mark than the one before if its removal was missed.
 		p.row.markedAt = now
-	case before && !row.Member.GetSilent():
+	case p.row.Member.GetSilent():
 		p.row.clearedAt = ran
 		p.row.clears++
 	}
@@ -417,9 +418,10 @@
 // Cleared returns the row in good order of an instance whose row was before, nil or empty if
 // it had none; storeNow is the latest time that the store's clock can show. Other instances may
 // spend a released part, or divide the limits without the instance, for as long as their leases
-// last.
+// last. Of a part that is only marked nobody spends anything: the release is conditional on the
+// version of the marked row.
 func Cleared(m, before *pb.FleetMember, storeNow time.Duration) *pb.FleetMember {
-	if before.GetSilent() || before.GetInstance() == "" {
+	if before.GetReleased() || before.GetInstance() == "" {
 		m.LeaseFromMs = (storeNow + leaseTime + 2*leaseMargin).Milliseconds()
 	} else {
 		m.LeaseFromMs = before.GetLeaseFromMs()
--- a/fleet/rows_test.go
+++ b/fleet/rows_test.go
@@ -31,3 +31,20 @@
 	f.SetRows([]Row{before}, mirror.VersionIn(1, 9), time.Now())
 	require.False(t, isMarked())
 }
+
+// Guards against a part that is released too early, by an instance that has missed that the row
+// was cleared and marked again.
+func TestEachMarkStartsTheWaitForTheLease(t *testing.T) {
+	f := newUnconnectedFleet("a")
+	marked := rowInGoodOrder("b")
+	marked.Member.Silent = true
+	now := time.Now()
+	f.SetRows([]Row{marked}, 1, now)
+	again := Row{Member: marked.Member, Version: 3}
+	f.SetRows([]Row{again}, 3, now.Add(leaseTime))
+	due, _ := f.DueRows(now.Add(leaseTime+leaseMargin), time.Hour)
+	require.Empty(t, due)
+	due, _ = f.DueRows(now.Add(2*leaseTime+leaseMargin), time.Hour)
+	require.Len(t, due, 1)
+	require.True(t, due[0].Next.GetReleased())
+}
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -45,6 +45,32 @@
 	})
 }
 
+// Guards against an instance that starts later than the others and has half of its part for
+// longer than the lease of a lost instance lasts, because its own row was marked meanwhile.
+func TestLateStartHasItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeaseFleet(t, 1)
+		defer l.stop()
+		for _, name := range []string{"a", "b", "late", "lost"} {
+			l.start(name)
+		}
+		l.run(5*time.Second, "start")
+		for _, name := range []string{"a", "b", "late", "lost"} {
+			l.kill(name)
+		}
+		l.start("a")
+		l.start("b")
+		l.run(5*time.Second, "two are back")
+		l.mu.Lock()
+		marked := l.running["a"].peers["late"].row.Member
+		l.mu.Unlock()
+		require.True(t, marked.GetSilent() && !marked.GetReleased())
+		l.start("late")
+		l.run(4*time.Second, "the last one is back")
+		require.InDelta(t, 1-keptFraction/4, l.spent(), 1e-9)
+	})
+}
+
 // Guards against an instance that was paused and takes its peers for silent before it has
 // heard them again.
 func TestSilenceDoesNotCountInAPause(t *testing.T) {
