fleet: one check of the rows returns what is due and what is pending

The loop that maintains the rows went over the peers twice, and the second pass counted peers that have said that they shut down, whose rows are removed and not released. CheckRows returns both. The lease no longer holds a copy of what only a test printed. Tests of rows share the writing of lost instances' rows and the sending of a report. No behaviour changes but the counts in the log line.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -84,7 +84,6 @@
 type lease struct {
 	// from is the store's clock at the newest reading that showed the own row in good order.
 	from time.Duration
-	held bool
 	// logged is what the share was last logged to be made of, at loggedAt.
 	logged   shareParts
 	loggedAt time.Time
@@ -162,7 +161,6 @@
 	// Without a lease, a peer that is not heard may have released this instance's part.
 	everyone := c.reachable == c.known
 	held := everyone || leased && age <= leaseTime
-	f.lease.held = held
 	share := c.share(held, leased && age > keptTime)
 	if parts := (shareParts{c, held}); parts != f.lease.logged && now.Sub(f.lease.loggedAt) >= shareLogPeriod {
 		f.lease.logged, f.lease.loggedAt = parts, now
@@ -345,10 +343,30 @@
 	Reason string
 }
 
-// DueRows returns the changes of the peers' rows that are due, and how long it takes until the
-// next one is if nothing is heard, at most maxRowsWait. It forgets the peers that have left.
+// Pending counts the silent peers whose part is not released yet.
+type Pending struct{ Unmarked, Marked int }
+
+func (p *Pending) add(m *pb.FleetMember) {
+	switch {
+	case m.GetReleased():
+	case m.GetSilent():
+		p.Marked++
+	default:
+		p.Unmarked++
+	}
+}
+
+// RowsCheck is the result of a check of the peers' rows.
+type RowsCheck struct {
+	Due []RowChange
+	// Wait is the time until the next change is due if nothing is heard, at most maxRowsWait.
+	Wait    time.Duration
+	Pending Pending
+}
+
+// CheckRows checks which changes of the peers' rows are due. It forgets the peers that have left.
 // storeNow is the latest time that the store's clock can show.
-func (f *Fleet) DueRows(now time.Time, storeNow time.Duration) (due []RowChange, wait time.Duration) {
+func (f *Fleet) CheckRows(now time.Time, storeNow time.Duration) RowsCheck {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clock.observe(now)
@@ -356,20 +374,23 @@
 		f.removeGoneLocked(now)
 	}
 	known := f.countLocked(now).known
-	wait = maxRowsWait
+	check := RowsCheck{Wait: maxRowsWait}
 	for _, p := range f.peers {
 		if p.row.Member == nil {
 			continue
 		}
+		if !p.Leaving && !f.isCurrent(p, now) {
+			check.Pending.add(p.row.Member)
+		}
 		change, dueIn := f.dueRowLocked(p, now, storeNow, known)
 		if dueIn > 0 {
-			wait = min(wait, dueIn)
+			check.Wait = min(check.Wait, dueIn)
 			continue
 		}
 		change.Row = p.row.Row
-		due = append(due, change)
+		check.Due = append(check.Due, change)
 	}
-	return due, wait
+	return check
 }
 
 // dueRowLocked returns the next change of a peer's row and the time until it is due.
@@ -401,26 +422,6 @@
 	return RowChange{Reason: "row of a lost instance removed"}, releasedRetention - releasedFor
 }
 
-// Pending counts the silent peers whose part is not released yet.
-type Pending struct{ Unmarked, Marked int }
-
-// PendingRows returns how many parts of silent peers are not released yet.
-func (f *Fleet) PendingRows(now time.Time) Pending {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var pending Pending
-	for _, p := range f.peers {
-		switch m := p.row.Member; {
-		case m == nil || m.GetReleased() || f.isCurrent(p, now):
-		case m.GetSilent():
-			pending.Marked++
-		default:
-			pending.Unmarked++
-		}
-	}
-	return pending
-}
-
 // Cleared returns the row in good order of an instance whose row was before, nil or empty if
 // it had none; storeNow is the latest time that the store's clock can show. Other instances may
 // spend a released part, or divide the limits without the instance, for as long as their leases
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -216,12 +216,12 @@
 			i.registered = true
 		}
 	}
-	due, wait := i.DueRows(now, i.fleet.store.now())
-	if len(due) == 0 {
-		return wait
+	check := i.CheckRows(now, i.fleet.store.now())
+	if len(check.Due) == 0 {
+		return check.Wait
 	}
 	if owner, _ := i.Owner("instances", func(*pb.FleetReport) bool { return false }, now); owner == i.name && i.reaches() {
-		i.changeRows(due, now)
+		i.changeRows(check.Due, now)
 	}
 	return 2 * reportPeriod
 }
@@ -263,7 +263,7 @@
 	for name, i := range l.running {
 		c := i.countLocked(now)
 		lines = append(lines, fmt.Sprintf("%s: side %d, share %.3f, %d of %d reachable, %d released, lease %v from %v, store time %v",
-			name, l.side[name], i.Share(now), c.reachable, c.known, c.released, i.lease.held, i.lease.from, l.store.now()))
+			name, l.side[name], i.Share(now), c.reachable, c.known, c.released, i.lease.logged.held, i.lease.from, l.store.now()))
 	}
 	slices.Sort(lines)
 	return strings.Join(lines, "\n")
--- a/fleet/rows_test.go
+++ b/fleet/rows_test.go
@@ -42,9 +42,8 @@
 	f.SetRows([]Row{marked}, 1, now)
 	again := Row{Member: marked.Member, Version: 3}
 	f.SetRows([]Row{again}, 3, now.Add(leaseTime))
-	due, _ := f.DueRows(now.Add(leaseTime+leaseMargin), time.Hour)
-	require.Empty(t, due)
-	due, _ = f.DueRows(now.Add(2*leaseTime+leaseMargin), time.Hour)
+	require.Empty(t, f.CheckRows(now.Add(leaseTime+leaseMargin), time.Hour).Due)
+	due := f.CheckRows(now.Add(2*leaseTime+leaseMargin), time.Hour).Due
 	require.Len(t, due, 1)
 	require.True(t, due[0].Next.GetReleased())
 }
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -36,7 +36,7 @@
 		f.SetRows([]Row{rowInGoodOrder("lost")}, 1, time.Now())
 		const rounds = 20
 		for range rounds {
-			if due, _ := f.DueRows(time.Now(), time.Hour); len(due) > 0 {
+			if len(f.CheckRows(time.Now(), time.Hour).Due) > 0 {
 				return
 			}
 			time.Sleep(maxObservationGap + 100*time.Millisecond)
@@ -53,16 +53,14 @@
 		f.SetRows([]Row{rowInGoodOrder("lost"), rowInGoodOrder("b")}, 1, time.Now())
 		time.Sleep(minReportTimeout / 2)
 		require.True(t, f.accept(&pb.FleetReport{Instance: "b", Incarnation: 1, Sequence: 1, Address: "b", Zone: "z1"}, time.Now()))
-		due, wait := f.DueRows(time.Now(), time.Hour)
-		require.Empty(t, due)
-		require.Equal(t, minReportTimeout/2, wait)
-		for at := minReportTimeout / 2; at < minReportTimeout/2+silenceLimit; at += wait {
-			require.Len(t, due, min(1, int(at/minReportTimeout)), at)
-			wait = minReportTimeout / 2
-			time.Sleep(wait)
-			due, _ = f.DueRows(time.Now(), time.Hour)
+		check := f.CheckRows(time.Now(), time.Hour)
+		require.Equal(t, RowsCheck{Wait: minReportTimeout / 2, Pending: Pending{Unmarked: 1}}, check)
+		for at := minReportTimeout / 2; at < minReportTimeout/2+silenceLimit; at += minReportTimeout / 2 {
+			require.Len(t, check.Due, min(1, int(at/minReportTimeout)), at)
+			time.Sleep(minReportTimeout / 2)
+			check = f.CheckRows(time.Now(), time.Hour)
 		}
-		require.Len(t, due, 2)
+		require.Len(t, check.Due, 2)
 	})
 }
 
@@ -102,13 +100,11 @@
 			require.True(t, f.accept(&pb.FleetReport{Instance: "b", Incarnation: 1, Sequence: k + 1, Address: "b", Zone: "z1"}, time.Now()))
 			for range 3 {
 				time.Sleep(500 * time.Millisecond)
-				due, _ := f.DueRows(time.Now(), time.Hour)
-				require.Empty(t, due)
+				require.Empty(t, f.CheckRows(time.Now(), time.Hour).Due)
 			}
 			time.Sleep(10 * time.Second)
 			for range 3 {
-				due, _ := f.DueRows(time.Now(), time.Hour)
-				require.Empty(t, due, "paused for 10 s after 1.5 s of silence")
+				require.Empty(t, f.CheckRows(time.Now(), time.Hour).Due, "paused for 10 s after 1.5 s of silence")
 				time.Sleep(200 * time.Millisecond)
 			}
 		}
--- a/internal/instance/recovery_budget_test.go
+++ b/internal/instance/recovery_budget_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -107,9 +106,7 @@
 	const lost = 8
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
-	for k := range lost {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
-	}
+	env.putLostRows(lost)
 	startedAt := time.Now()
 	path := &faultyPath{store: env.store, delay: 200 * time.Millisecond, startedAt: startedAt, seen: make(map[string]bool)}
 	server := httptest.NewServer(path)
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -75,15 +75,16 @@
 			continue
 		}
 		i.restoreOwnRow(ctx, rows)
-		due, wait := i.fleet.DueRows(now, storeNow)
-		if pending := i.fleet.PendingRows(now); pending != (fleet.Pending{}) && now.Sub(logged) >= rowsLogPeriod {
+		check := i.fleet.CheckRows(now, storeNow)
+		if check.Pending != (fleet.Pending{}) && now.Sub(logged) >= rowsLogPeriod {
 			logged = now
-			i.logPendingRows(pending, len(due), wait, now)
+			i.logPendingRows(check, now)
 		}
-		if len(due) > 0 {
+		wait := check.Wait
+		if len(check.Due) > 0 {
 			wait = rowsRetry // until the changes are read back, also if another instance makes them
 			if i.ownsDuty(tableInstances, now) {
-				i.changeRows(ctx, due)
+				i.changeRows(ctx, check.Due)
 			}
 		}
 		timer.Reset(max(wait, minRowsWait))
@@ -91,10 +92,10 @@
 }
 
 // logPendingRows logs what the release of the parts of silent instances waits for.
-func (i *Instance) logPendingRows(pending fleet.Pending, due int, wait time.Duration, now time.Time) {
+func (i *Instance) logPendingRows(check fleet.RowsCheck, now time.Time) {
 	owner := i.dutyOwner(tableInstances, now)
-	i.log.Info("parts of silent instances not released yet", zap.Int(field.Unmarked, pending.Unmarked), zap.Int(field.Marked, pending.Marked),
-		zap.Int(field.Due, due), zap.Duration(field.DueIn, wait), zap.String(field.Owner, owner))
+	i.log.Info("parts of silent instances not released yet", zap.Int(field.Unmarked, check.Pending.Unmarked), zap.Int(field.Marked, check.Pending.Marked),
+		zap.Int(field.Due, len(check.Due)), zap.Duration(field.DueIn, check.Wait), zap.String(field.Owner, owner))
 }
 
 // changeRows changes the rows of peers until the store does not respond. A conflict means that
--- a/internal/instance/rows_test.go
+++ b/internal/instance/rows_test.go
@@ -27,6 +27,13 @@
 	env.store.Put(tableInstances, m.GetInstance(), value)
 }
 
+// putLostRows writes the rows of instances that do not run.
+func (env *testEnv) putLostRows(n int) {
+	for k := range n {
+		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
+	}
+}
+
 // silentAddress returns an address that takes connections and sends nothing, like that of an
 // instance that is paused. Nothing tells it from one that is cut off.
 func (env *testEnv) silentAddress() string {
@@ -50,6 +57,17 @@
 	return nil
 }
 
+// receiveReport sends a peer's report to the instance.
+func (n *node) receiveReport(t *testing.T, report *pb.FleetReport) {
+	data, err := proto.Marshal(report)
+	require.NoError(t, err)
+	conn, err := net.Dial("udp4", n.settings.Load().Peers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(data)
+	require.NoError(t, err)
+}
+
 // Guards against an instance that leaves lost ones their parts of all quotas because it has
 // started after their loss, also if it starts again before it has decided anything, and
 // against one that spends the whole parts of instances that may be cut off.
@@ -58,9 +76,7 @@
 	const lost = 8
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
-	for k := range lost {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
-	}
+	env.putLostRows(lost)
 	const spent = 1./9 + 0.5*8/9
 	first := env.start("i1")
 	time.Sleep(time.Second)
@@ -124,18 +140,12 @@
 	n := env.start("i1")
 	away := &pb.FleetMember{Instance: "away", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"}
 	env.putRow(away)
-	conn, err := net.Dial("udp4", n.settings.Load().Peers)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
 	sequence := uint64(0)
 	require.Eventually(t, func() bool { return n.rowOf(t, "away").GetSilent() }, recoveryTime, 20*time.Millisecond)
 	for range 2 {
 		require.Eventually(t, func() bool {
 			sequence++
-			report, err := proto.Marshal(&pb.FleetReport{Instance: "away", Incarnation: 1, Address: away.Address, Zone: "z1", Sequence: sequence, StatusUnavailable: true})
-			require.NoError(t, err)
-			_, err = conn.Write(report)
-			require.NoError(t, err)
+			n.receiveReport(t, &pb.FleetReport{Instance: "away", Incarnation: 1, Address: away.Address, Zone: "z1", Sequence: sequence, StatusUnavailable: true})
 			return !n.rowOf(t, "away").GetSilent()
 		}, contactTime, 100*time.Millisecond)
 		require.Eventually(t, func() bool { return n.rowOf(t, "away").GetReleased() }, 2*recoveryTime, 20*time.Millisecond)
@@ -150,9 +160,7 @@
 	const lost = 99
 	env := newTestEnv(t)
 	env.configure(testRoutes(), []string{testKey}, 1000)
-	for k := range lost {
-		env.putRow(&pb.FleetMember{Instance: fmt.Sprint("lost-", k), Incarnation: 1, Address: fmt.Sprintf("127.0.0.9:%d", 1000+k), Zone: "z1"})
-	}
+	env.putLostRows(lost)
 	env.store.SetFaults(platformstore.Faults{Delay: 300 * time.Millisecond})
 	startedAt := time.Now()
 	n := env.start("i1")
@@ -227,13 +235,7 @@
 	n := env.start("i1")
 	left := &pb.FleetMember{Instance: "left", Incarnation: 1, Address: "127.0.0.9:1000", Zone: "z1"}
 	env.putRow(left)
-	conn, err := net.Dial("udp4", n.settings.Load().Peers)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	report, err := proto.Marshal(&pb.FleetReport{Instance: "left", Incarnation: 1, Address: left.Address, Zone: "z1", Sequence: 1, Leaving: true})
-	require.NoError(t, err)
-	_, err = conn.Write(report)
-	require.NoError(t, err)
+	n.receiveReport(t, &pb.FleetReport{Instance: "left", Incarnation: 1, Address: left.Address, Zone: "z1", Sequence: 1, Leaving: true})
 	grace := n.settings.Load().Grace
 	require.Never(t, func() bool { return n.rowOf(t, "left").GetSilent() || n.rowOf(t, "left") == nil }, grace-time.Second, 20*time.Millisecond)
 	require.Eventually(t, func() bool { return n.rowOf(t, "left") == nil }, contactTime, 20*time.Millisecond)
